--- a/cmd/jacinthnotchd/main.go
+++ b/cmd/jacinthnotchd/main.go
@@ -42,6 +42,7 @@
 	Verbosity int      `help:"Verbosity of the log; 0 logs changes of state only." short:"v" default:"0"`
 	Run       runCmd   `cmd:"" help:"Run one instance until SIGTERM, which drains it; a second SIGTERM ends it at once."`
 	Check     checkCmd `cmd:"" help:"Check a settings file and print every problem with its line."`
+	Serve     serveCmd `cmd:"" help:"Run one instance on the users' platform until SIGTERM, which drains it."`
 	Dev       devCmd   `cmd:"" help:"Run a whole fleet with stand-ins for the platform and the servers in this process."`
 }
 
--- /dev/null
+++ b/cmd/jacinthnotchd/serve.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jacinthnotch/jacinthnotch/node/eventlog"
+	"github.com/jacinthnotch/jacinthnotch/node/exchange"
+	"github.com/jacinthnotch/jacinthnotch/node/peers"
+	"github.com/jacinthnotch/jacinthnotch/node/serve"
+	"github.com/jacinthnotch/jacinthnotch/platform"
+)
+
+// instancesTopic is the topic in which the instances announce themselves.
+const instancesTopic = "instances"
+
+type serveCmd struct {
+	Settings string `help:"Settings file." required:"" placeholder:"FILE"`
+	Check    bool   `help:"Only check the settings file."`
+}
+
+// Run serves until SIGTERM has drained the instance.
+func (c *serveCmd) Run(out io.Writer) error {
+	s, err := serve.Load(c.Settings)
+	if err != nil || c.Check {
+		return err
+	}
+	lines := eventlog.New(out)
+	defer lines.Close()
+	klog.SetOutput(lines)
+	defer klog.SetOutput(io.Discard)
+	defer klog.Flush()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	i, err := serve.New(s, adapter(s.Store.Address))
+	if err != nil {
+		return err
+	}
+	return i.Run(ctx)
+}
+
+// adapter returns the adapter to the platform whose store is at address.
+func adapter(address string) serve.Platform {
+	store := platform.NewStore(address, exchange.Dial)
+	return serve.Platform{
+		Protocol:      platform.Protocol{},
+		ReadinessPath: platform.ReadinessPath,
+		Store:         store,
+		Config:        platform.NewFeed(store, platform.ConfigTopic, platform.DecodeRevision, nil),
+		Servers:       platform.NewFeed(store, platform.ServersTopic, platform.DecodeServer, nil),
+		Instances:     platform.NewFeed(store, platform.KeyedTopic(instancesTopic), decodeInstance, encodeInstance),
+	}
+}
+
+func decodeInstance(_ string, raw []byte) (*peers.Instance, error) {
+	i := &peers.Instance{}
+	return i, json.Unmarshal(raw, i)
+}
+
+func encodeInstance(i *peers.Instance) ([]byte, error) {
+	if i == nil {
+		return nil, nil // drops the key
+	}
+	return json.Marshal(i)
+}
--- a/cmd/jnctl/commands_test.go
+++ b/cmd/jnctl/commands_test.go
@@ -14,7 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/node/development"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
 )
 
 // run executes a command line and returns its exit code and output.
--- a/cmd/jnctl/enter.go
+++ b/cmd/jnctl/enter.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	platform "github.com/jacinthnotch/jacinthnotch/platform/client"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	platform "github.com/jacinthnotch/jacinthnotch/node/client"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // listFlags name a stand-in for the list.
--- a/cmd/jnctl/standin.go
+++ b/cmd/jnctl/standin.go
@@ -6,11 +6,11 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/list"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/log"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/plain"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/weights"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/list"
+	"github.com/jacinthnotch/jacinthnotch/standin/log"
+	"github.com/jacinthnotch/jacinthnotch/standin/plain"
+	"github.com/jacinthnotch/jacinthnotch/standin/weights"
 )
 
 // StandinCmd runs one stand-in for a part of the platform or for a backend
--- /dev/null
+++ b/domain/joblog/book.go
@@ -0,0 +1,138 @@
+package joblog
+
+import "time"
+
+// Item is the state of one item.
+type Item struct {
+	Listed bool
+	// Progress is the output kept of a run that was stopped; nil when there is none.
+	Progress *Progress
+}
+
+// Job is the state of one job.
+type Job struct {
+	Accepted
+	Items []Item
+	// Results are the listed items by position.
+	Results []*Result
+	Ended   bool
+	// Seen is when this instance folded the acceptance.
+	Seen time.Time
+	// Touched is when it folded the last record of the job.
+	Touched time.Time
+}
+
+// Open reports whether items of the job have still to be done.
+func (j *Job) Open() bool { return !j.Ended && len(j.Results) < len(j.Items) }
+
+// Book holds the jobs that the records state. It is not safe for concurrent use.
+type Book struct {
+	jobs map[string]*Job
+	// Void counts the records that changed nothing.
+	Void int64
+	next int64
+}
+
+// NewBook returns a book that has folded nothing.
+func NewBook() *Book { return &Book{jobs: map[string]*Job{}} }
+
+// Next returns the offset of the next record to fold.
+func (b *Book) Next() int64 { return b.next }
+
+// Skip moves to a later offset, when the records before it have expired.
+func (b *Book) Skip(to int64) { b.next = max(b.next, to) }
+
+// Job returns a job, or nil.
+func (b *Book) Job(id string) *Job { return b.jobs[id] }
+
+// Jobs calls f for each job.
+func (b *Book) Jobs(f func(*Job)) {
+	for _, j := range b.jobs {
+		f(j)
+	}
+}
+
+// Fold takes the record at offset. A record before Next was folded already. A
+// record that cannot be decoded is void. It returns the job that changed, or nil.
+func (b *Book) Fold(now time.Time, offset int64, raw []byte) *Job {
+	if offset < b.next {
+		return nil
+	}
+	b.next = offset + 1
+	r, err := Decode(raw)
+	if err != nil {
+		b.Void++
+		return nil
+	}
+	j := b.apply(now, r)
+	if j == nil {
+		b.Void++
+		return nil
+	}
+	j.Touched = now
+	return j
+}
+
+func (b *Book) apply(now time.Time, r *Record) *Job {
+	switch {
+	case r.Accepted != nil:
+		return b.accept(now, r.Accepted)
+	case r.Result != nil:
+		return b.list(r.Result)
+	case r.Progress != nil:
+		return b.progress(r.Progress)
+	case r.Ended != nil:
+		j := b.jobs[r.Ended.Job]
+		if j == nil || j.Ended {
+			return nil
+		}
+		j.Ended = true
+		return j
+	}
+	return nil
+}
+
+func (b *Book) accept(now time.Time, a *Accepted) *Job {
+	if a.Job == "" || b.jobs[a.Job] != nil {
+		return nil
+	}
+	j := &Job{Accepted: *a, Items: make([]Item, a.Items), Seen: now}
+	b.jobs[a.Job] = j
+	return j
+}
+
+func (b *Book) list(r *Result) *Job {
+	j := b.jobs[r.Job]
+	if j == nil || r.Item < 0 || r.Item >= len(j.Items) || j.Items[r.Item].Listed {
+		return nil
+	}
+	j.Items[r.Item] = Item{Listed: true}
+	j.Results = append(j.Results, r)
+	return j
+}
+
+func (b *Book) progress(p *Progress) *Job {
+	j := b.jobs[p.Job]
+	if j == nil || p.Item < 0 || p.Item >= len(j.Items) || j.Items[p.Item].Listed {
+		return nil
+	}
+	item := &j.Items[p.Item]
+	if item.Progress != nil && item.Progress.After >= p.After {
+		return nil
+	}
+	item.Progress = p
+	return j
+}
+
+// Purge forgets the jobs that are not open and were not touched since before the
+// given time. Their records expire in the store as well.
+func (b *Book) Purge(before time.Time) int {
+	n := 0
+	for id, j := range b.jobs {
+		if !j.Open() && j.Touched.Before(before) {
+			delete(b.jobs, id)
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/domain/joblog/record.go
@@ -0,0 +1,94 @@
+package joblog
+
+import "encoding/json"
+
+// Extent names consecutive records of the bulk topic that hold one blob.
+type Extent struct {
+	Partition int   `json:"p"`
+	Offset    int64 `json:"o"`
+	Records   int   `json:"n"`
+	// Bytes is the blob's length without the records' framing.
+	Bytes int `json:"b"`
+}
+
+// Size returns the length of the blob that the extents hold, in bytes.
+func Size(extents []Extent) int {
+	size := 0
+	for _, e := range extents {
+		size += e.Bytes
+	}
+	return size
+}
+
+// Accepted says that a job is the system's to keep.
+type Accepted struct {
+	Job string `json:"job"`
+	// Host and Path are those of the submission; they select the job's route.
+	Host string `json:"host"`
+	Path string `json:"path"`
+	// Items is the number of items.
+	Items int `json:"items"`
+	// Content holds the encoded items.
+	Content []Extent `json:"content"`
+	// Instance and Incarnation name the instance that accepted the job; it runs the
+	// items while it lives.
+	Instance    string `json:"instance"`
+	Incarnation uint32 `json:"incarnation"`
+}
+
+// State is the state of a listed item.
+type State string
+
+// The states.
+const (
+	Completed State = "completed"
+	// Dead items were given up.
+	Dead State = "dead"
+)
+
+// Result lists an item.
+type Result struct {
+	Job string `json:"job"`
+	// Item is the item's number in the submission, from 0; ID is its id.
+	Item  int    `json:"item"`
+	ID    string `json:"id"`
+	State State  `json:"state"`
+	// Text is the output of a completed item.
+	Text []Extent `json:"text,omitempty"`
+	// Reason says why an item was given up.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Progress keeps the output of an item that an instance stopped running.
+type Progress struct {
+	Job  string `json:"job"`
+	Item int    `json:"item"`
+	// After is the last event that Text holds.
+	After int64    `json:"after"`
+	Text  []Extent `json:"text"`
+}
+
+// Ended says that a job was ended by its owner.
+type Ended struct {
+	Job string `json:"job"`
+}
+
+// Record is one record; exactly one field is set.
+type Record struct {
+	Accepted *Accepted `json:"accepted,omitempty"`
+	Result   *Result   `json:"result,omitempty"`
+	Progress *Progress `json:"progress,omitempty"`
+	Ended    *Ended    `json:"ended,omitempty"`
+}
+
+// Encode returns the record's bytes.
+func (r *Record) Encode() ([]byte, error) { return json.Marshal(r) }
+
+// Decode decodes a record.
+func Decode(raw []byte) (*Record, error) {
+	r := &Record{}
+	if err := json.Unmarshal(raw, r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
--- a/node/answer/answer.go
+++ b/node/answer/answer.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 const (
--- a/node/answer/answer_test.go
+++ b/node/answer/answer_test.go
@@ -5,8 +5,8 @@
 	"strings"
 	"testing"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
 )
 
 // Guards against building or continuing an answer whose chunks hold more than
--- a/node/auditor/auditor.go
+++ b/node/auditor/auditor.go
@@ -16,8 +16,8 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/audit"
 	"github.com/jacinthnotch/jacinthnotch/domain/record"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/ring"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
 
--- a/node/auditor/query.go
+++ b/node/auditor/query.go
@@ -11,7 +11,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/record"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
 	"github.com/jacinthnotch/jacinthnotch/node/operator"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 const (
--- a/platform/client/client_test.go
+++ b/node/client/client_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/plain"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/plain"
 )
 
 // script serves raw connections: f gets the number of the request, counted over
--- a/platform/client/directory.go
+++ b/node/client/directory.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // Directory is the adapter for the platform's list.
--- a/platform/client/doc.go
+++ b/node/client/doc.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"time"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // Defaults of Options.
--- a/platform/client/engine.go
+++ b/node/client/engine.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // Engine is the adapter for the model engine of one backend server.
--- a/platform/client/log.go
+++ b/node/client/log.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // Log is the adapter for the platform's log.
--- a/platform/client/plain.go
+++ b/node/client/plain.go
@@ -7,7 +7,7 @@
 	"net/url"
 	"strings"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // Plain is the adapter for one backend server of a plain HTTP service.
--- a/platform/client/pool.go
+++ b/node/client/pool.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // Pool holds the connections to backend servers. All adapters of an instance
--- a/platform/client/sse.go
+++ b/node/client/sse.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"io"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // errStreamEnded reports a stream that ended without its end marker.
--- a/node/cmd/capacity/control.go
+++ b/node/cmd/capacity/control.go
@@ -14,12 +14,12 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/config"
 	"github.com/jacinthnotch/jacinthnotch/domain/member"
 	"github.com/jacinthnotch/jacinthnotch/domain/record"
+	"github.com/jacinthnotch/jacinthnotch/node/client"
 	"github.com/jacinthnotch/jacinthnotch/node/follower"
 	"github.com/jacinthnotch/jacinthnotch/node/members"
 	"github.com/jacinthnotch/jacinthnotch/node/peer"
-	"github.com/jacinthnotch/jacinthnotch/platform/client"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/log"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/log"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
 
--- a/node/cmd/capacity/engine.go
+++ b/node/cmd/capacity/engine.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/config"
+	"github.com/jacinthnotch/jacinthnotch/node/client"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/servers"
-	"github.com/jacinthnotch/jacinthnotch/platform/client"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 )
 
 const (
--- a/node/cmd/capacity/load.go
+++ b/node/cmd/capacity/load.go
@@ -8,11 +8,11 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/jacinthnotch/jacinthnotch/node/client"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/servers"
-	"github.com/jacinthnotch/jacinthnotch/platform/client"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/list"
 	"github.com/jacinthnotch/jacinthnotch/policy/route"
+	"github.com/jacinthnotch/jacinthnotch/standin/list"
 )
 
 const (
--- a/node/cmd/capacity/owner.go
+++ b/node/cmd/capacity/owner.go
@@ -17,8 +17,8 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/record"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
 	"github.com/jacinthnotch/jacinthnotch/node/owner"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/store"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 	"github.com/jacinthnotch/jacinthnotch/wire/peerpb"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
--- a/node/cmd/capacity/page.go
+++ b/node/cmd/capacity/page.go
@@ -167,7 +167,7 @@
 	p.Roles = append(p.Roles, Role{Name: "Caller entry", State: "open requests and streams, a bounded buffer of answers to be recorded", Lines: []Line{
 		{"requests", fmt.Sprintf("%.0f / %.0f", size.Requests, n), num(req) + " /s", "node/entry"},
 		{"tokens passed on", fmt.Sprintf("%.0f / %.0f", size.Tokens, n), num(tok) + " /s", "node/inference, node/entry"},
-		{"processor time, streamed", fmt.Sprintf("%s /s x %s + %s /s x %s", num(req), sec(max(0, entry.Base)), num(tok), sec(entry.Slope)), cores(d.EntryCPU), "node/entry, platform/client"},
+		{"processor time, streamed", fmt.Sprintf("%s /s x %s + %s /s x %s", num(req), sec(max(0, entry.Base)), num(tok), sec(entry.Slope)), cores(d.EntryCPU), "node/entry, node/client"},
 		{"routing", fmt.Sprintf("%s /s x %s at %.0f servers", num(req), sec(pick.At(used)), used), cores(req * pick.At(used)), "policy/route"},
 		{"open streams", fmt.Sprintf("%.0f /s x %.3f s / %.0f", size.Tokens, size.TokenGap, n), num(open), "node/entry"},
 		{"memory of open streams", fmt.Sprintf("%s x %s", num(open), bytesOf(p.StreamBytes)), bytesOf(open * p.StreamBytes), "node/entry, node/inference"},
@@ -203,7 +203,7 @@
 	p.Roles = append(p.Roles, Role{Name: "Batch director", State: "streams in flight with the tokens so far, items held ready, results on their way (at most 32 MiB)", Lines: []Line{
 		{"servers directed", fmt.Sprintf("%d / %.0f", size.Servers, n), num(directed), "node/members"},
 		{"items", fmt.Sprintf("%s /s / %.0f", num(d.ItemsPerS), n), num(mine) + " /s", "node/director"},
-		{"processor time, stand-in engine included", fmt.Sprintf("%s /s x %s at %.0f tokens", num(mine), sec(perItem), a.ItemTokens), cores(mine * perItem), "node/director, platform/client"},
+		{"processor time, stand-in engine included", fmt.Sprintf("%s /s x %s at %.0f tokens", num(mine), sec(perItem), a.ItemTokens), cores(mine * perItem), "node/director, node/client"},
 		{"messages to owners", fmt.Sprintf("%s /s x (%s pulls + %s pushes)", num(mine), num(row.Pulls), num(row.Pushes)), num(mine*(row.Pulls+row.Pushes)) + " /s", "node/director, node/peer"},
 	}})
 	plan := last(p.Plans)
--- a/node/development/development.go
+++ b/node/development/development.go
@@ -22,11 +22,11 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/record"
 	"github.com/jacinthnotch/jacinthnotch/node/follower"
 	"github.com/jacinthnotch/jacinthnotch/node/instance"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/settings"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/local"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/plain"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/local"
+	"github.com/jacinthnotch/jacinthnotch/standin/plain"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
 
--- a/node/development/e2e_test.go
+++ b/node/development/e2e_test.go
@@ -17,7 +17,7 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
 )
 
 const limit = 60 * time.Second
--- a/node/director/fake_test.go
+++ b/node/director/fake_test.go
@@ -14,8 +14,8 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/config"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/servers"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/route"
 	"github.com/jacinthnotch/jacinthnotch/wire/peerpb"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
--- a/node/director/item.go
+++ b/node/director/item.go
@@ -13,8 +13,8 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/ident"
 	"github.com/jacinthnotch/jacinthnotch/node/answer"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/servers"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/health"
 	"github.com/jacinthnotch/jacinthnotch/policy/retry"
 	"github.com/jacinthnotch/jacinthnotch/wire/peerpb"
--- a/node/director/lane.go
+++ b/node/director/lane.go
@@ -9,8 +9,8 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/servers"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/fill"
 	"github.com/jacinthnotch/jacinthnotch/policy/preempt"
 	"github.com/jacinthnotch/jacinthnotch/policy/route"
--- a/node/director/peer_test.go
+++ b/node/director/peer_test.go
@@ -12,8 +12,8 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/config"
 	"github.com/jacinthnotch/jacinthnotch/node/metrics"
 	"github.com/jacinthnotch/jacinthnotch/node/peer"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/servers"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 )
 
 // elsewhere is the preference of an instance that directs nothing, and the
--- a/node/follower/edit.go
+++ b/node/follower/edit.go
@@ -9,8 +9,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/config"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/stream"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
 
--- a/node/follower/follower.go
+++ b/node/follower/follower.go
@@ -22,9 +22,9 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/record"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
 	"github.com/jacinthnotch/jacinthnotch/node/peer"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/ring"
 	"github.com/jacinthnotch/jacinthnotch/node/stream"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 	"github.com/jacinthnotch/jacinthnotch/wire/peerpb"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/node/exchange"
+	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+)
+
+// Protocol translates the headers of requests and answers.
+type Protocol interface {
+	// Request decodes the headers of a caller's request.
+	Request(h http.Header) serving.Request
+	// Address writes the headers that direct one attempt to a server, with the time
+	// that is left (none when zero) and the event after which it goes on.
+	Address(h http.Header, server string, left time.Duration, resumeAfter int64, resumes bool)
+	// Answer decodes the headers of a server's answer.
+	Answer(status int, h http.Header) serving.Answer
+	// Refusal writes the time after which a caller may return.
+	Refusal(h http.Header, retryAfter time.Duration)
+}
+
+// Jobs takes the calls about batch jobs.
+type Jobs interface {
+	// Serve answers a call about jobs; false means that it is none.
+	Serve(w http.ResponseWriter, r *http.Request, route *serving.Route) bool
+}
+
+// Yielder makes room on a server that is full.
+type Yielder interface {
+	// Yield asks for the slot of a batch request on the server.
+	Yield(server string)
+}
+
+// Gateway is the HTTP handler of callers.
+type Gateway struct {
+	View     *fleet.View
+	Pool     *exchange.Pool
+	Protocol Protocol
+	Jobs     Jobs
+	Yielder  Yielder
+	Metrics  *Metrics
+}
+
+const (
+	// defaultBody bounds a request's body, in bytes, when the configuration does not.
+	defaultBody = 4 << 20
+	// notKnownRetry is the time after which a caller may return to an instance that
+	// does not know the configuration yet.
+	notKnownRetry = 300 * time.Millisecond
+)
+
+// ServeHTTP answers one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	revision := g.View.Revision()
+	request := g.Protocol.Request(r.Header)
+	if revision == nil || !g.View.Ready() {
+		g.refuse(w, request.ID, http.StatusServiceUnavailable, notKnownRetry, "configuration or servers not known yet")
+		return
+	}
+	route := revision.Match(host(r), r.URL.EscapedPath())
+	if (route == nil || route.Kind == serving.Batch) && g.Jobs.Serve(w, r, route) {
+		return
+	}
+	if route == nil {
+		g.refuse(w, request.ID, http.StatusNotFound, 0, "no route")
+		return
+	}
+	body, ok := g.readBody(w, r, request.ID, revision.Limits.BodyBytes)
+	if !ok {
+		return
+	}
+	c := &call{
+		gateway: g, route: route, revision: revision, request: request, writer: w, incoming: r, body: body,
+		arrived: arrived, tried: map[string]bool{},
+	}
+	c.lastEvent = request.ResumeAfter
+	c.run()
+}
+
+// readBody reads the request's whole body; false means that the answer is given or
+// that the caller has left.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, id string, limit int64) ([]byte, bool) {
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, true
+	case errors.As(err, &tooLarge):
+		g.refuse(w, id, http.StatusRequestEntityTooLarge, 0, "body above the limit")
+	default:
+		klog.InfoS("request abandoned", "id", id, "cause", "the caller broke off its body", "err", err)
+		g.Metrics.count("caller_broke_off")
+		panic(http.ErrAbortHandler)
+	}
+	return nil, false
+}
+
+// refuse gives a final answer of the system's own to a request that has not run.
+func (g *Gateway) refuse(w http.ResponseWriter, id string, status int, retryAfter time.Duration, cause string) {
+	klog.InfoS("request refused", "id", id, "status", status, "retryAfter", retryAfter, "cause", cause)
+	g.Metrics.count("refused")
+	g.fail(w, status, retryAfter, cause)
+}
+
+// fail writes an answer of the system's own.
+func (g *Gateway) fail(w http.ResponseWriter, status int, retryAfter time.Duration, cause string) {
+	if retryAfter > 0 {
+		g.Protocol.Refusal(w.Header(), retryAfter)
+	}
+	http.Error(w, cause, status)
+}
+
+// host returns the request's host without a port.
+func host(r *http.Request) string {
+	if name, _, err := net.SplitHostPort(r.Host); err == nil {
+		return name
+	}
+	return r.Host
+}
+
+// ChooseService divides the requests of a route among its services by weight.
+func ChooseService(route *serving.Route) string {
+	if len(route.Targets) == 1 {
+		return route.Targets[0].Service
+	}
+	sum := 0.0
+	for _, t := range route.Targets {
+		sum += max(0, t.Weight)
+	}
+	point := rand.Float64() * sum
+	for _, t := range route.Targets {
+		if point -= max(0, t.Weight); point < 0 {
+			return t.Service
+		}
+	}
+	if len(route.Targets) == 0 {
+		return ""
+	}
+	return route.Targets[len(route.Targets)-1].Service
+}
+
+// limit returns the time at which a request needs its final answer: the end of the
+// caller's patience or of the route's timeout, whichever is first; zero when there
+// is neither.
+func limit(arrived time.Time, patience, timeout time.Duration) time.Time {
+	shorter := patience
+	if timeout > 0 && (shorter <= 0 || timeout < shorter) {
+		shorter = timeout
+	}
+	if shorter <= 0 {
+		return time.Time{}
+	}
+	return arrived.Add(shorter)
+}
+
+// withLimit returns a context that ends at the time limit.
+func withLimit(ctx context.Context, limit time.Time) (context.Context, context.CancelFunc) {
+	if limit.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, limit)
+}
--- a/node/inference/bench_test.go
+++ b/node/inference/bench_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
+	"github.com/jacinthnotch/jacinthnotch/node/client"
 	"github.com/jacinthnotch/jacinthnotch/node/metrics"
-	"github.com/jacinthnotch/jacinthnotch/platform/client"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
 )
 
 // BenchmarkOverhead measures a call through the instance's serving side and the
--- a/node/inference/inference.go
+++ b/node/inference/inference.go
@@ -17,8 +17,8 @@
 	"github.com/jacinthnotch/jacinthnotch/node/api"
 	"github.com/jacinthnotch/jacinthnotch/node/dispatch"
 	"github.com/jacinthnotch/jacinthnotch/node/metrics"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/servers"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/retry"
 	"github.com/jacinthnotch/jacinthnotch/policy/route"
 )
--- a/node/inference/inference_test.go
+++ b/node/inference/inference_test.go
@@ -17,11 +17,11 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/config"
 	"github.com/jacinthnotch/jacinthnotch/domain/ident"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
+	"github.com/jacinthnotch/jacinthnotch/node/client"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/servers"
-	"github.com/jacinthnotch/jacinthnotch/platform/client"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/local"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/local"
 )
 
 const (
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -25,15 +25,15 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/member"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
 	"github.com/jacinthnotch/jacinthnotch/node/auditor"
+	"github.com/jacinthnotch/jacinthnotch/node/client"
 	"github.com/jacinthnotch/jacinthnotch/node/follower"
 	"github.com/jacinthnotch/jacinthnotch/node/members"
 	"github.com/jacinthnotch/jacinthnotch/node/metrics"
 	"github.com/jacinthnotch/jacinthnotch/node/operator"
 	"github.com/jacinthnotch/jacinthnotch/node/peer"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/quarantine"
 	"github.com/jacinthnotch/jacinthnotch/node/settings"
-	"github.com/jacinthnotch/jacinthnotch/platform/client"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 )
 
 const (
--- a/node/instance/service.go
+++ b/node/instance/service.go
@@ -17,17 +17,17 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/partition"
 	plan "github.com/jacinthnotch/jacinthnotch/domain/placement"
 	"github.com/jacinthnotch/jacinthnotch/node/batchapi"
+	"github.com/jacinthnotch/jacinthnotch/node/client"
 	"github.com/jacinthnotch/jacinthnotch/node/director"
 	"github.com/jacinthnotch/jacinthnotch/node/entry"
 	"github.com/jacinthnotch/jacinthnotch/node/inference"
 	"github.com/jacinthnotch/jacinthnotch/node/owner"
 	"github.com/jacinthnotch/jacinthnotch/node/placement"
 	"github.com/jacinthnotch/jacinthnotch/node/plain"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/servers"
 	"github.com/jacinthnotch/jacinthnotch/node/store"
 	"github.com/jacinthnotch/jacinthnotch/node/web"
-	"github.com/jacinthnotch/jacinthnotch/platform/client"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 )
 
 const (
--- a/node/internal/fakelog/fakelog.go
+++ b/node/internal/fakelog/fakelog.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/record"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
 
--- /dev/null
+++ b/node/jobs/runner.go
@@ -0,0 +1,349 @@
+package jobs
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/node/exchange"
+	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/node/gateway"
+	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+)
+
+const (
+	// scheduleInterval is the time between looks at free slots.
+	scheduleInterval = 40 * time.Millisecond
+	// startsPerLook bounds the items that start at one look: instances decide on
+	// figures that are an interval old, and all of them see the same free slots.
+	startsPerLook = 2
+	// takeoverDelay is the time after the start before jobs of other instances are
+	// taken over, in which the others are heard.
+	takeoverDelay = 2 * time.Second
+	// lostAfter is the time for which the instance that accepted a job has to be
+	// silent before its jobs are taken over.
+	lostAfter = time.Second
+	// headroom is the number of slots of a server that items leave free for online
+	// requests.
+	headroom = 1
+	// refusedPause is the pause of an item that a server did not take, failedPause
+	// that of one whose run failed.
+	refusedPause = 60 * time.Millisecond
+	failedPause  = 300 * time.Millisecond
+	// runningMost bounds the items that one instance runs at once.
+	runningMost = 96
+	// contentMost bounds the jobs whose items are held decoded.
+	contentMost = 32
+)
+
+// Members tells which instances are there.
+type Members interface {
+	// Alive returns the incarnations of the other instances that are heard and not
+	// leaving, by name.
+	Alive() map[string]uint32
+}
+
+// Runner runs the items of the jobs that fall to this instance.
+type Runner struct {
+	Index    *Index
+	Bulk     *Bulk
+	View     *fleet.View
+	Pool     *exchange.Pool
+	Protocol gateway.Protocol
+	Codec    Codec
+	Members  Members
+	Metrics  *Metrics
+	// Instance and Incarnation name this instance.
+	Instance    string
+	Incarnation uint32
+
+	mu       sync.Mutex
+	started  time.Time
+	work     map[string]*work
+	contents map[string][]Item
+	running  int
+	leaving  bool
+	absent   map[string]time.Time
+	kicked   chan struct{}
+	runs     conc.WaitGroup
+}
+
+// work is what this instance does for one job.
+type work struct {
+	job   joblog.Job
+	items map[int]*run
+}
+
+// Start prepares the runner; Run must follow.
+func (r *Runner) Start() {
+	r.started = time.Now()
+	r.work, r.contents, r.absent = map[string]*work{}, map[string][]Item{}, map[string]time.Time{}
+	r.kicked = make(chan struct{}, 1)
+}
+
+// kick asks for a look at free slots.
+func (r *Runner) kick() {
+	select {
+	case r.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// Run schedules items until ctx ends, and then waits for their runs.
+func (r *Runner) Run(ctx context.Context) {
+	ticker := time.NewTicker(scheduleInterval)
+	defer ticker.Stop()
+	defer r.runs.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.kicked:
+		}
+		r.look(ctx)
+	}
+}
+
+// look cancels what need not run any more and starts items where slots are free.
+func (r *Runner) look(ctx context.Context) {
+	now := time.Now()
+	var jobs []joblog.Job
+	r.Index.Read(func(b *joblog.Book) {
+		b.Jobs(func(j *joblog.Job) {
+			if j.Open() || r.has(j.Job) {
+				view := *j
+				view.Items = slices.Clone(j.Items)
+				jobs = append(jobs, view)
+			}
+		})
+	})
+	for server, n := range r.View.Excess() {
+		for range int(n + 0.5) {
+			r.Yield(server)
+		}
+	}
+	alive := r.Members.Alive()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.update(now, jobs, alive)
+	if r.leaving {
+		return
+	}
+	started := 0
+	for _, c := range r.pending(now) {
+		if started >= startsPerLook || r.running >= runningMost {
+			return
+		}
+		if r.start(ctx, c) {
+			started++
+		}
+	}
+}
+
+func (r *Runner) has(job string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.work[job] != nil
+}
+
+// update takes the jobs that fall to this instance, and cancels runs of items that
+// are listed or whose job has ended.
+func (r *Runner) update(now time.Time, jobs []joblog.Job, alive map[string]uint32) {
+	for _, j := range jobs {
+		w := r.work[j.Job]
+		if w == nil {
+			if !j.Open() || !r.mine(now, &j, alive) {
+				continue
+			}
+			w = &work{items: map[int]*run{}}
+			r.work[j.Job] = w
+			klog.InfoS("job taken", "job", j.Job, "acceptedBy", j.Instance, "listed", len(j.Results), "items", len(j.Items))
+		}
+		w.job = j
+		for i, it := range w.items {
+			if j.Ended || j.Items[i].Listed {
+				it.stop(errNotNeeded)
+			}
+		}
+		if !j.Open() && len(w.items) == 0 || !r.mine(now, &j, alive) && len(w.items) == 0 {
+			delete(r.work, j.Job)
+			delete(r.contents, j.Job)
+		}
+	}
+}
+
+// mine reports whether a job falls to this instance: it accepted the job, or the
+// instance that did is lost and this one ranks first among those that are left.
+func (r *Runner) mine(now time.Time, j *joblog.Job, alive map[string]uint32) bool {
+	if r.leaving {
+		return false
+	}
+	if j.Instance == r.Instance && j.Incarnation == r.Incarnation {
+		return true
+	}
+	holder := j.Instance
+	if incarnation, ok := alive[holder]; ok && incarnation == j.Incarnation {
+		delete(r.absent, j.Job)
+		return false
+	}
+	since, ok := r.absent[j.Job]
+	if !ok {
+		r.absent[j.Job] = now
+		return false
+	}
+	if now.Sub(since) < lostAfter || now.Sub(r.started) < takeoverDelay {
+		return false
+	}
+	best, name := rank(j.Job, r.Instance), r.Instance
+	for other := range alive {
+		if v := rank(j.Job, other); v > best || v == best && other > name {
+			best, name = v, other
+		}
+	}
+	return name == r.Instance
+}
+
+// rank orders instances for a job by rendezvous hashing.
+func rank(job, instance string) uint64 { return xxhash.Sum64String(job + "\x00" + instance) }
+
+// candidate is an item that could start.
+type candidate struct {
+	*work
+	index int
+	route *serving.Route
+	due   time.Time
+}
+
+// pending returns the items that could start, the one due first at the front.
+func (r *Runner) pending(now time.Time) []candidate {
+	var list []candidate
+	revision := r.View.Revision()
+	if revision == nil {
+		return nil
+	}
+	for _, w := range r.work {
+		if !w.job.Open() {
+			continue
+		}
+		route := revision.Match(w.job.Host, w.job.Path)
+		if route == nil {
+			continue
+		}
+		due := w.job.Seen.Add(route.Due)
+		for i := range w.job.Items {
+			it := w.items[i]
+			if w.job.Items[i].Listed || it != nil && (it.busy || now.Before(it.notBefore)) {
+				continue
+			}
+			list = append(list, candidate{w, i, route, due})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		if c := a.due.Compare(b.due); c != 0 {
+			return c
+		}
+		return a.index - b.index
+	})
+	return list
+}
+
+// start begins a run of an item; false means that no server has a slot for it.
+func (r *Runner) start(ctx context.Context, c candidate) bool {
+	it := c.items[c.index]
+	if it == nil {
+		it = &run{job: c.job.Job, index: c.index}
+		c.items[c.index] = it
+	}
+	lease, ok := r.View.Pick(balance.Query{Service: gateway.ChooseService(c.route), Class: balance.Batch, Headroom: headroom})
+	if !ok {
+		return false
+	}
+	it.busy = true
+	it.server = lease.Server.ID
+	it.began = time.Now()
+	ctx, it.stop = context.WithCancelCause(ctx)
+	r.running++
+	accepted, progress, route := c.job.Accepted, c.job.Items[c.index].Progress, c.route
+	r.runs.Go(func() { r.execute(ctx, it, &accepted, progress, route, lease) })
+	return true
+}
+
+// Yield gives up the slot of one item on a server, the one that began last.
+func (r *Runner) Yield(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var last *run
+	for _, w := range r.work {
+		for _, it := range w.items {
+			if it.busy && it.server == server && !it.saving && (last == nil || it.began.After(last.began)) {
+				last = it
+			}
+		}
+	}
+	if last == nil {
+		return
+	}
+	r.Metrics.count("preempted")
+	last.server = ""
+	last.stop(errPreempted)
+}
+
+// content returns the items of a job.
+func (r *Runner) content(ctx context.Context, a *joblog.Accepted) ([]Item, error) {
+	r.mu.Lock()
+	items := r.contents[a.Job]
+	r.mu.Unlock()
+	if items != nil {
+		return items, nil
+	}
+	raw, err := r.Bulk.Read(ctx, a.Content)
+	if err != nil {
+		return nil, err
+	}
+	items, err = decodeItems(raw)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.contents) >= contentMost {
+		for job := range r.contents {
+			delete(r.contents, job)
+			break
+		}
+	}
+	r.contents[a.Job] = items
+	return items, nil
+}
+
+// Drain stops all runs and keeps the output that they have, so that other instances
+// go on from there. It returns when that is done or ctx ends.
+func (r *Runner) Drain(ctx context.Context) {
+	r.mu.Lock()
+	r.leaving = true
+	for _, w := range r.work {
+		for _, it := range w.items {
+			if it.busy && !it.saving {
+				it.stop(errLeaving)
+			}
+		}
+	}
+	r.mu.Unlock()
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		left := r.running
+		r.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		pause(ctx, scheduleInterval)
+	}
+}
--- a/node/members/members.go
+++ b/node/members/members.go
@@ -21,8 +21,8 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/member"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
 	"github.com/jacinthnotch/jacinthnotch/node/peer"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/ring"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 	"github.com/jacinthnotch/jacinthnotch/wire/peerpb"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
--- a/node/members/members_test.go
+++ b/node/members/members_test.go
@@ -14,7 +14,7 @@
 	"storj.io/drpc"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/member"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/wire/peerpb"
 )
 
--- a/node/owner/append.go
+++ b/node/owner/append.go
@@ -10,8 +10,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/partition"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/stream"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 	"github.com/jacinthnotch/jacinthnotch/wire/peerpb"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
--- a/node/owner/duty.go
+++ b/node/owner/duty.go
@@ -11,9 +11,9 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/ident"
 	"github.com/jacinthnotch/jacinthnotch/domain/partition"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/ring"
 	"github.com/jacinthnotch/jacinthnotch/node/stream"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
 	"github.com/jacinthnotch/jacinthnotch/wire/peerpb"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -14,7 +14,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/partition"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
 	"github.com/jacinthnotch/jacinthnotch/node/peer"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // Preference says which instance should hold a partition.
--- a/node/owner/reader.go
+++ b/node/owner/reader.go
@@ -11,7 +11,7 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/ident"
 	"github.com/jacinthnotch/jacinthnotch/domain/record"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
 
--- a/node/placement/placement.go
+++ b/node/placement/placement.go
@@ -25,7 +25,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/ident"
 	"github.com/jacinthnotch/jacinthnotch/domain/placement"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 const (
--- a/node/placement/placement_test.go
+++ b/node/placement/placement_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/config"
 	"github.com/jacinthnotch/jacinthnotch/domain/placement"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
 	"github.com/jacinthnotch/jacinthnotch/wire/recordpb"
 )
 
--- a/node/placement/runner.go
+++ b/node/placement/runner.go
@@ -10,7 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/placement"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // target is a server that a runner places on.
--- a/node/proof/calls_test.go
+++ b/node/proof/calls_test.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/node/development"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/log"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/plain"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/standin/log"
+	"github.com/jacinthnotch/jacinthnotch/standin/plain"
 )
 
 // Guards against a keyed call that runs again when it is resent while it runs or
--- a/node/proof/drain_test.go
+++ b/node/proof/drain_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/node/development"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
 )
 
 // balancer is the platform's load balancer: it sends requests in turn to the
--- a/node/proof/fleet_test.go
+++ b/node/proof/fleet_test.go
@@ -23,7 +23,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/member"
 	"github.com/jacinthnotch/jacinthnotch/node/development"
 	"github.com/jacinthnotch/jacinthnotch/node/web"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
 )
 
 const (
--- a/node/proof/jobs_test.go
+++ b/node/proof/jobs_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/ident"
 	"github.com/jacinthnotch/jacinthnotch/node/development"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/log"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/log"
 )
 
 // Guards against an acknowledged job that is lost or made twice when an owner
--- a/node/proof/outage_test.go
+++ b/node/proof/outage_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/ident"
 	"github.com/jacinthnotch/jacinthnotch/node/development"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/local"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/log"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/standin/local"
+	"github.com/jacinthnotch/jacinthnotch/standin/log"
 )
 
 const (
--- a/node/proof/pause_test.go
+++ b/node/proof/pause_test.go
@@ -18,8 +18,8 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/ident"
 	"github.com/jacinthnotch/jacinthnotch/domain/record"
 	"github.com/jacinthnotch/jacinthnotch/node/development"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/plain"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/standin/plain"
 )
 
 // process is a running jacinthnotchd.
--- a/node/proof/servers_test.go
+++ b/node/proof/servers_test.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/node/development"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/list"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/standin/list"
 )
 
 // of returns the ids of the engines that hold a model.
--- a/node/servers/failure.go
+++ b/node/servers/failure.go
@@ -4,7 +4,7 @@
 	"errors"
 	"net/http"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/retry"
 )
 
--- a/node/servers/follow.go
+++ b/node/servers/follow.go
@@ -8,7 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/health"
 	"github.com/jacinthnotch/jacinthnotch/policy/route"
 )
--- a/node/servers/group.go
+++ b/node/servers/group.go
@@ -10,7 +10,7 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/config"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/admit"
 	"github.com/jacinthnotch/jacinthnotch/policy/health"
 	"github.com/jacinthnotch/jacinthnotch/policy/retry"
--- a/node/servers/servers.go
+++ b/node/servers/servers.go
@@ -20,7 +20,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/quarantine"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
 	"github.com/jacinthnotch/jacinthnotch/node/metrics"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/admit"
 	"github.com/jacinthnotch/jacinthnotch/policy/route"
 	"github.com/jacinthnotch/jacinthnotch/policy/suspect"
--- a/node/servers/servers_test.go
+++ b/node/servers/servers_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/config"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/retry"
 	"github.com/jacinthnotch/jacinthnotch/policy/route"
 )
--- a/node/stream/tail.go
+++ b/node/stream/tail.go
@@ -10,7 +10,7 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 const (
--- a/node/stream/tail_test.go
+++ b/node/stream/tail_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // scriptedLog answers reads from a list and ends the context after the last.
--- /dev/null
+++ b/policy/balance/pick.go
@@ -0,0 +1,207 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+)
+
+// Query asks for a server.
+type Query struct {
+	Service string
+	Class   Class
+	// Once is set for a request that may run at most once: it is kept away from
+	// servers that fail.
+	Once bool
+	// Tried holds the servers that have had the request.
+	Tried map[string]bool
+	// Headroom is the number of slots that a batch request leaves free.
+	Headroom int
+}
+
+// Choice is the chosen server with the figures that decided.
+type Choice struct {
+	Server *serving.Server
+	// Busy is the number of requests that are thought to be there, Background the
+	// batch ones among them.
+	Busy, Background, Slots int
+	// Preempt is set when the request needs the slot of a batch request.
+	Preempt bool
+	// Ahead is the number of online requests that are thought to wait there.
+	Ahead int
+}
+
+// Weights of a score. The unit is a full server.
+const (
+	otherCentre = 0.06
+	failureCost = 2.0
+	// onceFailureCost keeps requests that cannot be repeated away from failing
+	// servers.
+	onceFailureCost = 6.0
+	preemptCost     = 0.3
+	// queueCost is far above any score of a server with a free slot.
+	queueCost = 3.0
+	// batchFailureLimit is the failure rate from which batch requests, which can
+	// wait, are not sent to a server.
+	batchFailureLimit = 0.5
+	// paceExponent damps the effect of the measured pace.
+	paceExponent = 0.5
+	// draws is the number of candidates that are drawn; the best of them is taken.
+	// Instances decide on figures that are up to an interval old, so that all of
+	// them taking the best server would overload it.
+	draws = 2
+)
+
+func exp2(x float64) float64 { return math.Exp2(x) }
+
+type candidate struct {
+	*backend
+	score float64
+}
+
+// Pick returns the server for a request, or false when no server is registered or
+// all of them are excluded.
+func (t *Table) Pick(now time.Time, q Query) (Choice, bool) {
+	usable, down := t.filter(now, q)
+	if len(usable) == 0 {
+		if q.Class == Batch || len(down) == 0 {
+			return Choice{}, false
+		}
+		// Every server is thought to be lost: take the one that is due first.
+		b := slices.MinFunc(down, func(a, b *backend) int { return a.downUntil.Compare(b.downUntil) })
+		return b.choice(), true
+	}
+	mean := meanPace(usable)
+	candidates := make([]candidate, 0, len(usable))
+	for _, b := range usable {
+		if q.Class == Batch && b.busy()+q.Headroom >= b.slots() {
+			continue
+		}
+		candidates = append(candidates, candidate{b, t.score(now, b, q, mean)})
+	}
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	best := t.draw(candidates)
+	if !best.downUntil.IsZero() && best.dead > 0 {
+		best.trial = true
+	}
+	return best.choice(), true
+}
+
+// filter returns the servers that may take the request and those that are left out
+// because they do not answer.
+func (t *Table) filter(now time.Time, q Query) (usable, down []*backend) {
+	for _, b := range t.services[q.Service] {
+		switch {
+		case !b.server.Usable() || q.Tried[b.server.ID]:
+		case b.dead > 0 && (now.Before(b.downUntil) || b.trial || q.Once):
+			down = append(down, b)
+		case q.Class == Batch && b.failureRate(now) > batchFailureLimit:
+		default:
+			usable = append(usable, b)
+		}
+	}
+	return usable, down
+}
+
+func (b *backend) choice() Choice {
+	c := Choice{Server: b.server, Busy: b.busy(), Background: b.own[Batch] + b.peers[Batch], Slots: b.slots()}
+	c.Preempt = c.Busy >= c.Slots && c.Background > 0
+	c.Ahead = max(0, c.Busy-c.Background+1-c.Slots)
+	return c
+}
+
+// score is the expected cost of a server; the least is best.
+func (t *Table) score(now time.Time, b *backend, q Query, mean time.Duration) float64 {
+	slots, busy := float64(b.slots()), float64(b.busy())
+	online := float64(b.own[Online] + b.peers[Online])
+	var s float64
+	switch {
+	case busy+1 <= slots:
+		s = (busy + 1) / slots
+	case online+1 <= slots:
+		s = 1 + preemptCost*(online+1)/slots
+	default:
+		s = 1 + preemptCost + queueCost*(online+1-slots)/slots
+	}
+	if b.pace > 0 && mean > 0 {
+		s *= math.Pow(b.pace.Seconds()/mean.Seconds(), paceExponent)
+	}
+	cost := failureCost
+	if q.Once {
+		cost = onceFailureCost
+	}
+	s += cost * b.failureRate(now)
+	if b.server.DataCentre != t.home {
+		s += otherCentre
+	}
+	return s
+}
+
+// draw takes the best of a few candidates that are drawn at random.
+func (t *Table) draw(list []candidate) *backend {
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	// Servers that would make the request wait are no alternatives to those that
+	// would not.
+	n := len(list)
+	for i, c := range list {
+		if c.score > max(1, 1.5*list[0].score+0.1) {
+			n = i
+			break
+		}
+	}
+	best := n - 1
+	for range draws {
+		best = min(best, t.random.IntN(n))
+	}
+	return list[best].backend
+}
+
+func meanPace(list []*backend) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, b := range list {
+		if b.pace > 0 {
+			sum += b.pace
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
+// Room returns the free slots, the slots and the servers of a service, as far as
+// servers answer.
+func (t *Table) Room(now time.Time, service string) (free, slots, servers int) {
+	for _, b := range t.services[service] {
+		if !b.server.Usable() || b.dead > 0 && now.Before(b.downUntil) {
+			continue
+		}
+		free += b.slots() - b.busy()
+		slots += b.slots()
+		servers++
+	}
+	return free, slots, servers
+}
+
+// Excess returns, by server, how many of this instance's batch requests stand
+// above the slots of their server. Peers that see the same excess share it in
+// proportion to what they have there.
+func (t *Table) Excess() map[string]float64 {
+	excess := map[string]float64{}
+	for id, b := range t.backends {
+		over := b.busy() - b.slots()
+		if over <= 0 || b.own[Batch] == 0 {
+			continue
+		}
+		background := b.own[Batch] + b.peers[Batch]
+		excess[id] = float64(min(over, background)) * float64(b.own[Batch]) / float64(background)
+	}
+	return excess
+}
--- a/platform/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
 )
 
 // sequence is one request on its way through the batch.
--- a/platform/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -4,7 +4,7 @@
 	"container/list"
 	"time"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 // blockTokens is the size of one block of the prefix cache.
--- a/platform/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -8,8 +8,8 @@
 	"slices"
 	"sync"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
 )
 
 // Engine is the stand-in. All methods are safe for concurrent use.
--- a/platform/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/client"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/node/client"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
 )
 
 func start(t *testing.T, opts engine.Options, faults engine.Faults) (*engine.Engine, *client.Engine) {
--- a/platform/standin/engine/format.go
+++ b/standin/engine/format.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
 )
 
 type usage struct{ prompt, completion, cached int }
--- a/platform/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"strings"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
 )
 
 // breakMode is the fault that hits one request.
--- a/platform/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -8,8 +8,8 @@
 package engine
 
 import (
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
 )
 
 // Marks in a prompt that decide how the engine treats the request.
--- a/platform/standin/local/local.go
+++ b/standin/local/local.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"time"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/engine"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/list"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/log"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/plain"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/weights"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/list"
+	"github.com/jacinthnotch/jacinthnotch/standin/log"
+	"github.com/jacinthnotch/jacinthnotch/standin/plain"
+	"github.com/jacinthnotch/jacinthnotch/standin/weights"
 )
 
 // Defaults of Options.
--- a/platform/standin/local/local_test.go
+++ b/standin/local/local_test.go
@@ -9,14 +9,14 @@
 	"testing"
 	"time"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/client"
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/list"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/local"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/log"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/plain"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/weights"
+	"github.com/jacinthnotch/jacinthnotch/node/client"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/standin/list"
+	"github.com/jacinthnotch/jacinthnotch/standin/local"
+	"github.com/jacinthnotch/jacinthnotch/standin/log"
+	"github.com/jacinthnotch/jacinthnotch/standin/plain"
+	"github.com/jacinthnotch/jacinthnotch/standin/weights"
 )
 
 var epoch = time.Unix(1e9, 0)
--- a/platform/standin/log/log.go
+++ b/standin/log/log.go
@@ -17,7 +17,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
 )
 
 // Headers of the log's protocol.
--- a/platform/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"sync"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
 )
 
 // KeyHeader names the action that a POST counts under. Without it
--- a/platform/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -12,8 +12,8 @@
 
 	"github.com/gofiber/fiber/v3"
 
-	"github.com/jacinthnotch/jacinthnotch/platform/port"
-	"github.com/jacinthnotch/jacinthnotch/platform/standin/kit"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
 )
 
 // Options are the properties of the store that do not change while it runs.
