node/jobs: a listed item that never started no longer ends the runner; one slot yields for one online request

Ruled out: lost ownership (the instance was alive and ranked first), a lock that was never released (calls went on). Change: entries are made with a server; a duty that panics ends the process. An online request that needs a slot asks this instance or one peer, not both.

--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
@@ -72,13 +71,25 @@
 	leaving  bool
 	absent   map[string]time.Time
 	kicked   chan struct{}
-	runs     conc.WaitGroup
+	runs     sync.WaitGroup
 }
 
 // work is what this instance does for one job.
 type work struct {
 	job   joblog.Job
 	items map[int]*run
+	// mine is set while the job falls to this instance.
+	mine bool
+}
+
+// idle reports whether no item of the job runs here.
+func (w *work) idle() bool {
+	for _, it := range w.items {
+		if it.busy {
+			return false
+		}
+	}
+	return true
 }
 
 // Start prepares the runner; Run must follow.
@@ -159,23 +170,25 @@
 func (r *Runner) update(now time.Time, jobs []joblog.Job, alive map[string]uint32) {
 	for _, j := range jobs {
 		w := r.work[j.Job]
+		mine := j.Open() && r.mine(now, &j, alive)
 		if w == nil {
-			if !j.Open() || !r.mine(now, &j, alive) {
+			if !mine {
 				continue
 			}
 			w = &work{items: map[int]*run{}}
 			r.work[j.Job] = w
 			klog.InfoS("job taken", "job", j.Job, "acceptedBy", j.Instance, "listed", len(j.Results), "items", len(j.Items))
 		}
-		w.job = j
+		w.job, w.mine = j, mine
 		for i, it := range w.items {
-			if j.Ended || j.Items[i].Listed {
+			if it.busy && (j.Ended || j.Items[i].Listed) {
 				it.stop(errNotNeeded)
 			}
 		}
-		if !j.Open() && len(w.items) == 0 || !r.mine(now, &j, alive) && len(w.items) == 0 {
+		if !mine && w.idle() {
 			delete(r.work, j.Job)
 			delete(r.contents, j.Job)
+			delete(r.absent, j.Job)
 		}
 	}
 }
@@ -230,7 +243,7 @@
 		return nil
 	}
 	for _, w := range r.work {
-		if !w.job.Open() {
+		if !w.mine {
 			continue
 		}
 		route := revision.Match(w.job.Host, w.job.Path)
@@ -257,15 +270,15 @@
 
 // start begins a run of an item; false means that no server has a slot for it.
 func (r *Runner) start(ctx context.Context, c candidate) bool {
+	lease, ok := r.View.Pick(balance.Query{Service: gateway.ChooseService(c.route), Class: balance.Batch, Headroom: headroom})
+	if !ok {
+		return false
+	}
 	it := c.items[c.index]
 	if it == nil {
 		it = &run{job: c.job.Job, index: c.index}
 		c.items[c.index] = it
 	}
-	lease, ok := r.View.Pick(balance.Query{Service: gateway.ChooseService(c.route), Class: balance.Batch, Headroom: headroom})
-	if !ok {
-		return false
-	}
 	it.busy = true
 	it.server = lease.Server.ID
 	it.began = time.Now()
@@ -276,8 +289,9 @@
 	return true
 }
 
-// Yield gives up the slot of one item on a server, the one that began last.
-func (r *Runner) Yield(server string) {
+// Yield gives up the slot of one item on a server, the one that began last. It
+// reports whether there was one.
+func (r *Runner) Yield(server string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var last *run
@@ -289,11 +303,12 @@
 		}
 	}
 	if last == nil {
-		return
+		return false
 	}
 	r.Metrics.count("preempted")
 	last.server = ""
 	last.stop(errPreempted)
+	return true
 }
 
 // content returns the items of a job.
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -60,8 +60,9 @@
 	Listen string
 	View   *fleet.View
 	Feed   port.Feed[Instance]
-	// OnYield is called when a peer asks for the slot of a batch request on a server.
-	OnYield func(server string)
+	// OnYield gives up the slot of one batch request of this instance on a server; it
+	// reports whether there was one.
+	OnYield func(server string) bool
 }
 
 type peer struct {
@@ -241,10 +242,12 @@
 	}
 }
 
-// Yield asks for the slot of a batch request on a server: of this instance's own
-// requests, and of one peer that states some.
+// Yield asks for the slot of one batch request on a server: of this instance's own
+// requests or, when it has none there, of one peer that states some.
 func (g *Group) Yield(server string) {
-	g.opt.OnYield(server)
+	if g.opt.OnYield(server) {
+		return
+	}
 	holders := g.opt.View.BatchHolders(server)
 	if len(holders) == 0 {
 		return
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -103,7 +103,7 @@
 	group, err := peers.NewGroup(peers.Options{
 		Name: s.Instance, DataCentre: s.DataCentre, Incarnation: i.incarnation,
 		Listen: net.JoinHostPort(s.Listen.IP, strconv.Itoa(int(s.Listen.FirstPort))),
-		View:   i.view, Feed: p.Instances, OnYield: func(server string) { i.runner.Yield(server) },
+		View:   i.view, Feed: p.Instances, OnYield: func(server string) bool { return i.runner.Yield(server) },
 	})
 	if err != nil {
 		return nil, fmt.Errorf("serve: socket for datagrams: %w", err)
@@ -170,10 +170,19 @@
 	// The duties outlive ctx: a drain needs them.
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var running conc.WaitGroup
+	// A duty that panics ends the process, which is then started again; without it
+	// the instance would go on half dead.
+	failed := make(chan error, len(i.duties())+2)
 	for _, duty := range i.duties() {
-		running.Go(func() { duty(duties) })
+		running.Go(func() {
+			defer func() {
+				if cause := recover(); cause != nil {
+					failed <- fmt.Errorf("serve: a duty panicked: %v\n%s", cause, debug.Stack())
+				}
+			}()
+			duty(duties)
+		})
 	}
-	failed := make(chan error, 2)
 	running.Go(func() { failed <- i.callers.Serve(callers) })
 	running.Go(func() { failed <- i.readiness.Serve(readiness) })
 	select {
