node/peers: place requests by a hub that counts what it grants

Ruled out: servers without room (busiest/mean was 1.5), slow instances (0.02 cores). Change: instances state what they have in flight to the first two of a ranking by hash and ask the first one for each server; its grants count until a statement shows them. Fewer reads of busy feeds. The data centre of the asking instance is preferred.

--- a/node/fleet/follow.go
+++ b/node/fleet/follow.go
@@ -13,12 +13,12 @@
 
 const (
 	// followWait is how long the store keeps a read waiting. A connection to the
-	// store that has gone silent is noticed after it and the call's time limit, so
-	// it stays well below the 2 s in which a change has to be in force.
-	followWait = time.Second
+	// store that has gone silent is noticed after it and the call's time limit,
+	// together within the stable window of 3 s.
+	followWait = 1500 * time.Millisecond
 	// followPause bounds the reads of a busy feed: servers write their heartbeats
 	// several times a second, and each call has a price.
-	followPause = 250 * time.Millisecond
+	followPause = 600 * time.Millisecond
 	// retryLeast and retryMost bound the random pause after a failed read. A store
 	// that is back has to be noticed within its stable window of 3 s.
 	retryLeast = 150 * time.Millisecond
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -22,6 +22,9 @@
 	runShare = 0.05
 	// firstRun is taken for the mean run time before any run has ended.
 	firstRun = 500 * time.Millisecond
+	// others names, in the table, the total that a hub states. No instance has this
+	// name.
+	others = ""
 )
 
 // View is safe for concurrent use.
@@ -38,9 +41,9 @@
 	configAt, serversAt time.Time
 }
 
-// NewView returns the view of an instance in a data centre.
-func NewView(dataCentre string, random *rand.Rand) *View {
-	return &View{registry: serving.NewRegistry(), table: balance.NewTable(dataCentre, random), runs: map[string]time.Duration{}}
+// NewView returns the view of an instance.
+func NewView(random *rand.Rand) *View {
+	return &View{registry: serving.NewRegistry(), table: balance.NewTable(random), runs: map[string]time.Duration{}}
 }
 
 // Revision returns the configuration in force; nil before any is known.
@@ -232,26 +235,76 @@
 	return v.table.Room(time.Now(), service)
 }
 
-// Own returns what this instance has in flight, by server.
-func (v *View) Own() map[string]balance.Counts {
+// Take counts a request on a server that another instance has picked; false when
+// this instance does not use that server.
+func (v *View) Take(server string, q balance.Query) (*Lease, bool) {
+	now := time.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	choice, ok := v.table.Take(now, server, q)
+	if !ok {
+		return nil, false
+	}
+	v.table.Started(server, q.Class)
+	return &Lease{Choice: choice, view: v, class: q.Class, began: now}, true
+}
+
+// GrantTo picks a server for a peer and counts the request there until the peer's
+// statements show it.
+func (v *View) GrantTo(peer string, sequence uint64, q balance.Query) (balance.Choice, bool) {
+	now := time.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	choice, ok := v.table.Pick(now, q)
+	if ok {
+		v.table.Grant(now, peer, balance.Grant{Sequence: sequence, Server: choice.Server.ID, Class: q.Class})
+	}
+	return choice, ok
+}
+
+// Avoid returns the servers that this instance would not use for a request.
+func (v *View) Avoid(q balance.Query) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.table.Own()
+	return v.table.Avoid(time.Now(), q)
 }
 
-// Excess returns this instance's share of the batch requests above the slots of
-// their servers.
-func (v *View) Excess() map[string]float64 {
+// Own returns what this instance has in flight and the paces that it measured
+// there, by server.
+func (v *View) Own() (map[string]balance.Counts, map[string]time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.table.Excess()
+	return v.table.Own(), v.table.Paces()
 }
 
-// PeerLoad records what a peer has in flight.
-func (v *View) PeerLoad(name string, counts map[string]balance.Counts) {
+// Total returns what all known instances have in flight, by server.
+func (v *View) Total() map[string]balance.Counts {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.table.Peer(time.Now(), name, counts)
+	return v.table.Total()
+}
+
+// PeerLoad records what a peer has in flight, with its grants up to seen, and the
+// paces that it measured.
+func (v *View) PeerLoad(name string, counts map[string]balance.Counts, seen uint64, paces map[string]time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.table.Peer(time.Now(), name, counts, seen)
+	for id, pace := range paces {
+		v.table.Pace(id, pace)
+	}
+}
+
+// OthersLoad records what all other instances together have in flight, as a hub
+// states the total.
+func (v *View) OthersLoad(total map[string]balance.Counts) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, own := range v.table.Own() {
+		c := total[id]
+		total[id] = balance.Counts{max(0, c[balance.Online]-own[balance.Online]), max(0, c[balance.Batch]-own[balance.Batch])}
+	}
+	v.table.Peer(time.Now(), others, total, 0)
 }
 
 // PeerGone drops the statements of a peer.
@@ -261,11 +314,21 @@
 	v.table.Forget(name)
 }
 
-// BatchHolders returns the peers that state batch requests on a server.
-func (v *View) BatchHolders(server string) []string {
+// OthersGone drops what a hub stated, once this instance hears its peers itself.
+func (v *View) OthersGone() { v.PeerGone(others) }
+
+// Holder returns a peer that has batch requests on a server, or "".
+func (v *View) Holder(server string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Holder(server)
+}
+
+// Overfull returns the servers with batch requests and more requests than slots.
+func (v *View) Overfull() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.table.BatchHolders(server)
+	return v.table.Overfull()
 }
 
 // ServerIDs returns the ids of the registered servers.
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -136,7 +136,7 @@
 // pick chooses the next server. A refusal says why there is none.
 func (c *call) pick() (*fleet.Lease, string) {
 	query := balance.Query{Service: c.service, Class: balance.Online, Once: !c.repeatable(), Tried: c.tried}
-	lease, ok := c.gateway.View.Pick(query)
+	lease, ok := c.gateway.Placer.Place(query)
 	if !ok {
 		return nil, "no server is left"
 	}
@@ -147,9 +147,6 @@
 			return nil, fmt.Sprintf("the expected wait of %d ms is too long", wait.Milliseconds())
 		}
 	}
-	if lease.Preempt && c.gateway.Yielder != nil {
-		c.gateway.Yielder.Yield(lease.Server.ID)
-	}
 	return lease, ""
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 )
 
 // Protocol translates the headers of requests and answers.
@@ -35,10 +36,10 @@
 	Serve(w http.ResponseWriter, r *http.Request, route *serving.Route) bool
 }
 
-// Yielder makes room on a server that is full.
-type Yielder interface {
-	// Yield asks for the slot of a batch request on the server.
-	Yield(server string)
+// Placer chooses the server of a request and counts the request there.
+type Placer interface {
+	// Place returns false when there is no server for the request.
+	Place(q balance.Query) (*fleet.Lease, bool)
 }
 
 // Gateway is the HTTP handler of callers.
@@ -47,7 +48,7 @@
 	Pool     *exchange.Pool
 	Protocol Protocol
 	Jobs     Jobs
-	Yielder  Yielder
+	Placer   Placer
 	Metrics  *Metrics
 }
 
--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -17,7 +17,7 @@
 	// tailWait is how long the store keeps a read of the index waiting.
 	tailWait = 800 * time.Millisecond
 	// tailPause bounds the reads of a busy index.
-	tailPause = 80 * time.Millisecond
+	tailPause = 300 * time.Millisecond
 	// tailBytes bounds one read of the index.
 	tailBytes = 512 << 10
 	// retryLeast and retryMost bound the random pause after a failed call.
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -20,9 +20,8 @@
 const (
 	// scheduleInterval is the time between looks at free slots.
 	scheduleInterval = 40 * time.Millisecond
-	// startsPerLook bounds the items that start at one look: instances decide on
-	// figures that are an interval old, and all of them see the same free slots.
-	startsPerLook = 2
+	// startsPerLook bounds the items that start at one look.
+	startsPerLook = 8
 	// takeoverDelay is the time after the start before jobs of other instances are
 	// taken over, in which the others are heard.
 	takeoverDelay = 2 * time.Second
@@ -58,6 +57,7 @@
 	Protocol gateway.Protocol
 	Codec    Codec
 	Members  Members
+	Placer   gateway.Placer
 	Metrics  *Metrics
 	// Instance and Incarnation name this instance.
 	Instance    string
@@ -136,26 +136,28 @@
 			}
 		})
 	})
-	for server, n := range r.View.Excess() {
-		for range int(n + 0.5) {
-			r.Yield(server)
-		}
-	}
 	alive := r.Members.Alive()
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.update(now, jobs, alive)
-	if r.leaving {
-		return
-	}
-	started := 0
-	for _, c := range r.pending(now) {
-		if started >= startsPerLook || r.running >= runningMost {
+	pending, most := r.pending(now), min(startsPerLook, runningMost-r.running)
+	r.mu.Unlock()
+	full := map[string]bool{}
+	for _, c := range pending {
+		if most <= 0 {
 			return
 		}
-		if r.start(ctx, c) {
-			started++
+		service := gateway.ChooseService(c.route)
+		if full[service] {
+			continue
 		}
+		// The lock is not held: the placer may ask another instance.
+		lease, ok := r.Placer.Place(balance.Query{Service: service, Class: balance.Batch, Headroom: headroom})
+		if !ok {
+			full[service] = true
+			continue
+		}
+		most--
+		r.start(ctx, c, lease)
 	}
 }
 
@@ -268,11 +270,13 @@
 	return list
 }
 
-// start begins a run of an item; false means that no server has a slot for it.
-func (r *Runner) start(ctx context.Context, c candidate) bool {
-	lease, ok := r.View.Pick(balance.Query{Service: gateway.ChooseService(c.route), Class: balance.Batch, Headroom: headroom})
-	if !ok {
-		return false
+// start begins a run of an item on the leased server.
+func (r *Runner) start(ctx context.Context, c candidate, lease *fleet.Lease) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving {
+		lease.End(balance.Abandoned)
+		return
 	}
 	it := c.items[c.index]
 	if it == nil {
@@ -286,7 +290,6 @@
 	r.running++
 	accepted, progress, route := c.job.Accepted, c.job.Items[c.index].Progress, c.route
 	r.runs.Go(func() { r.execute(ctx, it, &accepted, progress, route, lease) })
-	return true
 }
 
 // Yield gives up the slot of one item on a server, the one that began last. It
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -1,73 +1,138 @@
 package peers
 
 import (
+	"errors"
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 )
 
-// kind is the kind of a datagram.
-type kind uint8
+// kind is the first byte of a datagram; a CBOR array follows. New fields are added
+// at the end of an array.
+type kind byte
 
 const (
-	// kindState states the sender's requests in flight.
 	kindState kind = iota + 1
-	// kindYield asks the receiver for the slot of a batch request.
+	kindTotal
+	kindAsk
+	kindGrant
 	kindYield
 )
 
-// datagram is one message. Fields are encoded by position to keep it small; new
-// fields are added at the end.
-type datagram struct {
+// state is what an instance has in flight.
+type state struct {
 	_    struct{} `cbor:",toarray"`
-	Kind kind
-	// Name and Incarnation name the sender; the incarnation changes at each start.
-	Name        string
+	Name string
+	// Incarnation changes at each start of an instance.
 	Incarnation uint32
-	// Leaving is set once the sender drains.
+	// Leaving is set once the instance drains.
 	Leaving bool
-	// Loads holds, with kindState, what the sender has in flight.
+	// Seen is the sequence number up to which the loads show what was granted.
+	Seen  uint64
 	Loads []load
-	// Server is the hash of a server's id, with kindYield.
-	Server uint32
 }
 
-// load is what an instance has in flight on one server.
+// load is what is in flight on one server.
 type load struct {
 	_             struct{} `cbor:",toarray"`
 	Server        uint32
 	Online, Batch int
+	// Pace is the measured pace in units of paceUnit; zero when there is none.
+	Pace int
+}
+
+// paceUnit is the unit of paces on the wire.
+const paceUnit = 100 * time.Microsecond
+
+// total is what a hub hears of all instances.
+type total struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Loads []load
+	Alive []member
+}
+
+// member is an instance that a hub hears.
+type member struct {
+	_           struct{} `cbor:",toarray"`
+	Name        uint32
+	Incarnation uint32
+}
+
+// ask asks a hub for a server.
+type ask struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Sequence uint64
+	Service  string
+	Class    balance.Class
+	Once     bool
+	Headroom int
+	// Avoid holds the servers that the asking instance would not use.
+	Avoid []uint32
+	// Home is the data centre of the asking instance.
+	Home string
+}
+
+// grant answers an ask; Server is zero when there is none.
+type grant struct {
+	_        struct{} `cbor:",toarray"`
+	Sequence uint64
+	Server   uint32
+}
+
+// yield asks for the slot of a batch request.
+type yield struct {
+	_      struct{} `cbor:",toarray"`
+	Server uint32
 }
 
-// serverHash shortens a server's id in datagrams. Two servers with one hash share
-// their load figures, which costs balance only.
-func serverHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+// hash shortens the id of a server or the name of an instance in datagrams. Two with
+// one hash share their figures, which costs balance only.
+func hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-func encodeLoads(own map[string]balance.Counts) []load {
-	loads := make([]load, 0, len(own))
-	for id, c := range own {
-		loads = append(loads, load{Server: serverHash(id), Online: c[balance.Online], Batch: c[balance.Batch]})
+func encode(k kind, body any) ([]byte, error) {
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return nil, err
 	}
-	return loads
+	return append([]byte{byte(k)}, raw...), nil
 }
 
-func decodeLoads(loads []load, ids map[uint32]string) map[string]balance.Counts {
-	counts := make(map[string]balance.Counts, len(loads))
-	for _, l := range loads {
-		if id, ok := ids[l.Server]; ok {
-			counts[id] = balance.Counts{balance.Online: l.Online, balance.Batch: l.Batch}
-		}
+var errEmpty = errors.New("peers: an empty datagram")
+
+// decode decodes the body of a datagram.
+func decode[T any](raw []byte) (*T, error) {
+	body := new(T)
+	if len(raw) == 0 {
+		return nil, errEmpty
 	}
-	return counts
+	return body, cbor.Unmarshal(raw[1:], body)
 }
 
-func encode(d *datagram) ([]byte, error) { return cbor.Marshal(d) }
+func encodeLoads(counts map[string]balance.Counts, paces map[string]time.Duration) []load {
+	loads := make([]load, 0, len(counts))
+	for id, c := range counts {
+		loads = append(loads, load{Server: hash(id), Online: c[balance.Online], Batch: c[balance.Batch], Pace: int(paces[id] / paceUnit)})
+	}
+	return loads
+}
 
-func decode(raw []byte) (*datagram, error) {
-	d := &datagram{}
-	if err := cbor.Unmarshal(raw, d); err != nil {
-		return nil, err
+func decodeLoads(loads []load, ids map[uint32]string) (map[string]balance.Counts, map[string]time.Duration) {
+	counts := make(map[string]balance.Counts, len(loads))
+	paces := map[string]time.Duration{}
+	for _, l := range loads {
+		id, ok := ids[l.Server]
+		if !ok {
+			continue // not registered here yet
+		}
+		counts[id] = balance.Counts{balance.Online: l.Online, balance.Batch: l.Batch}
+		if l.Pace > 0 {
+			paces[id] = time.Duration(l.Pace) * paceUnit
+		}
 	}
-	return d, nil
+	return counts, paces
 }
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -21,41 +20,39 @@
 type Instance struct {
 	// Address is the IP:PORT of its datagrams.
 	Address string `json:"address"`
-	// DataCentre is where it runs.
-	DataCentre string `json:"data_centre"`
+	// Cores is the processor of its machine.
+	Cores float64 `json:"cores"`
 	// Incarnation changes at each start.
 	Incarnation uint32 `json:"incarnation"`
 }
 
 const (
-	// stateInterval is the least time between two statements to a peer of the same
-	// data centre, farInterval to one of another, whose bytes are priced.
-	stateInterval = 100 * time.Millisecond
-	farInterval   = 200 * time.Millisecond
-	// quietInterval is the time between statements when nothing changes.
-	quietInterval = 400 * time.Millisecond
-	// peersAtLeast peers get statements at these intervals; with more of them the
-	// intervals grow, so that an instance sends no more datagrams.
-	peersAtLeast = 16
-	// aliveFor is the silence after which a peer counts as lost.
-	aliveFor = 1500 * time.Millisecond
-	// helloInterval is the time between statements to a peer that is silent.
-	helloInterval = time.Second
+	tick = 10 * time.Millisecond
+	// stateInterval is the least time between two statements to a hub, and
+	// quietInterval that between statements when nothing changes.
+	stateInterval = 20 * time.Millisecond
+	quietInterval = 300 * time.Millisecond
+	// totalInterval is the time between a hub's statements of the totals.
+	totalInterval = 400 * time.Millisecond
+	// helloInterval is the time between statements to the instances that would rank
+	// first if they were alive.
+	helloInterval = 2 * time.Second
+	// shedInterval is the time between a hub's looks at servers that are overfull.
+	shedInterval = 100 * time.Millisecond
 	// forgetAfter is the silence after which an instance is not addressed any more;
 	// its entry in the store is then dropped.
 	forgetAfter = 60 * time.Second
 	// announceRetry is the pause after a failed announcement in the store.
 	announceRetry = 500 * time.Millisecond
-	tick          = 25 * time.Millisecond
-	maxDatagram   = 8 << 10
-	// yieldInterval is the least time between two requests for slots of one server.
-	yieldInterval = 5 * time.Millisecond
+	maxDatagram   = 16 << 10
 )
 
 // Options are what a Group needs.
 type Options struct {
 	Name, DataCentre string
-	Incarnation      uint32
+	// Cores is the processor of the machine.
+	Cores       float64
+	Incarnation uint32
 	// Listen is the IP:PORT of datagrams.
 	Listen string
 	View   *fleet.View
@@ -65,27 +62,25 @@
 	OnYield func(server string) bool
 }
 
-type peer struct {
-	Instance
-	to          netip.AddrPort
-	heard, sent time.Time
-	known       time.Time
-	leaving     bool
-	alive       bool
-}
-
 // Group is the set of instances, as one of them knows it. It is safe for concurrent
 // use.
 type Group struct {
 	opt  Options
 	conn *net.UDPConn
 
-	mu      sync.Mutex
-	peers   map[string]*peer
-	last    map[string]balance.Counts
-	changed time.Time
-	yields  map[string]time.Time
-	leaving bool
+	mu       sync.Mutex
+	peers    map[string]*peer
+	hashes   map[uint32]*peer
+	last     map[string]balance.Counts
+	changed  time.Time
+	shed     time.Time
+	hub      bool
+	leaving  bool
+	sequence uint64
+	// open holds the questions that are not answered yet.
+	open map[uint64]chan grant
+	// servers holds the ids of the registered servers by their hashes.
+	servers map[uint32]string
 }
 
 // NewGroup opens the socket of an instance.
@@ -98,14 +93,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Group{opt: opt, conn: conn, peers: map[string]*peer{}, yields: map[string]time.Time{}}, nil
+	return &Group{
+		opt: opt, conn: conn, peers: map[string]*peer{}, hashes: map[uint32]*peer{},
+		open: map[uint64]chan grant{}, servers: map[uint32]string{},
+	}, nil
 }
 
-// Run states and receives until ctx ends.
+// Run receives until ctx ends.
 func (g *Group) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = g.conn.Close() })
 	defer stop()
-	ids := map[uint32]string{}
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
 		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
@@ -115,56 +112,128 @@
 			}
 			continue
 		}
-		d, err := decode(buffer[:n])
-		if err != nil {
+		if err := g.receive(buffer[:n], from); err != nil {
 			klog.InfoS("datagram ignored", "from", from.String(), "err", err)
-			continue
 		}
-		g.receive(d, from, ids)
 	}
 }
 
-func (g *Group) receive(d *datagram, from netip.AddrPort, ids map[uint32]string) {
-	if d.Name == g.opt.Name {
-		return
+func (g *Group) receive(raw []byte, from netip.AddrPort) error {
+	if len(raw) == 0 {
+		return errEmpty
 	}
-	g.hear(d, from)
-	switch d.Kind {
+	switch kind(raw[0]) {
 	case kindState:
-		for _, l := range d.Loads {
-			if _, ok := ids[l.Server]; !ok {
-				clear(ids)
-				for _, id := range g.opt.View.ServerIDs() {
-					ids[serverHash(id)] = id
-				}
-				break
-			}
-		}
-		g.opt.View.PeerLoad(d.Name, decodeLoads(d.Loads, ids))
+		return handle(raw, from, g.onState)
+	case kindTotal:
+		return handle(raw, from, g.onTotal)
+	case kindAsk:
+		return handle(raw, from, g.onAsk)
+	case kindGrant:
+		return handle(raw, from, g.onGrant)
 	case kindYield:
-		for _, id := range g.opt.View.ServerIDs() {
-			if serverHash(id) == d.Server {
-				g.opt.OnYield(id)
-			}
-		}
+		return handle(raw, from, func(y *yield, _ netip.AddrPort) { g.opt.OnYield(g.serverID(y.Server)) })
 	}
+	return errors.New("peers: a datagram of an unknown kind")
+}
+
+func handle[T any](raw []byte, from netip.AddrPort, f func(*T, netip.AddrPort)) error {
+	body, err := decode[T](raw)
+	if err == nil {
+		f(body, from)
+	}
+	return err
+}
+
+// peer returns the peer of a name, which is made when it is new. The lock is held.
+func (g *Group) peer(name string, now time.Time) *peer {
+	p := g.peers[name]
+	if p == nil {
+		p = &peer{name: name, known: now}
+		g.peers[name] = p
+		g.hashes[hash(name)] = p
+	}
+	return p
 }
 
 // hear records a sign of life.
-func (g *Group) hear(d *datagram, from netip.AddrPort) {
+func (g *Group) hear(name string, from netip.AddrPort) *peer {
+	now := time.Now()
+	p := g.peer(name, now)
+	p.heard, p.Address = now, from.String()
+	return p
+}
+
+// onState takes a peer's statement, which makes this instance a hub.
+func (g *Group) onState(s *state, from netip.AddrPort) {
+	if s.Name == g.opt.Name {
+		return
+	}
 	now := time.Now()
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	p := g.peers[d.Name]
-	if p == nil {
-		p = &peer{known: now}
-		g.peers[d.Name] = p
+	p := g.hear(s.Name, from)
+	p.Incarnation, p.leaving = s.Incarnation, s.Leaving
+	first := now.Sub(p.stated) > heardFor
+	p.stated = now
+	became := !g.hub
+	g.hub = true
+	counts, paces := decodeLoads(s.Loads, g.serverIDs(s.Loads))
+	g.mu.Unlock()
+	if became {
+		klog.InfoS("acting as a hub", "firstStatementOf", s.Name)
+		g.opt.View.OthersGone()
+	}
+	g.opt.View.PeerLoad(s.Name, counts, s.Seen, paces)
+	if first {
+		g.sendTotals([]netip.AddrPort{from})
+	}
+}
+
+// onTotal takes a hub's statement of all instances.
+func (g *Group) onTotal(t *total, from netip.AddrPort) {
+	now := time.Now()
+	g.mu.Lock()
+	g.hear(t.Name, from)
+	for _, m := range t.Alive {
+		if p := g.hashes[m.Name]; p != nil {
+			p.listed, p.Incarnation = now, m.Incarnation
+		}
+	}
+	hub := g.hub
+	counts, _ := decodeLoads(t.Loads, g.serverIDs(t.Loads))
+	g.mu.Unlock()
+	if !hub {
+		g.opt.View.OthersLoad(counts)
 	}
-	p.to, p.heard, p.leaving, p.Incarnation = from, now, d.Leaving, d.Incarnation
-	if !p.alive {
-		p.alive = true
-		klog.InfoS("dependency regained", "dependency", "peer", "peer", d.Name, "incarnation", d.Incarnation)
+}
+
+// serverIDs returns the ids by hash, read anew when a load names an unknown one. The
+// lock is held.
+func (g *Group) serverIDs(loads []load) map[uint32]string {
+	for _, l := range loads {
+		if _, ok := g.servers[l.Server]; !ok {
+			g.readServers()
+			break
+		}
 	}
+	return g.servers
+}
+
+func (g *Group) readServers() {
+	g.servers = map[uint32]string{}
+	for _, id := range g.opt.View.ServerIDs() {
+		g.servers[hash(id)] = id
+	}
+}
+
+// serverID returns the id of a hash, or "" when no such server is registered.
+func (g *Group) serverID(h uint32) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.servers[h]; !ok {
+		g.readServers()
+	}
+	return g.servers[h]
 }
 
 // State sends statements until ctx ends.
@@ -176,64 +245,154 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			g.state()
+			g.tick()
 		}
 	}
 }
 
-func (g *Group) state() {
+func (g *Group) tick() {
 	now := time.Now()
-	own := g.opt.View.Own()
 	g.mu.Lock()
+	seen := g.seen()
+	own, paces := g.opt.View.Own()
 	if !maps.Equal(own, g.last) {
 		g.last, g.changed = own, now
 	}
-	due := g.due(now)
+	g.notice(now)
+	states, totals := g.statesDue(now), g.totalsDue(now)
+	shed := g.hub && now.Sub(g.shed) >= shedInterval
+	if shed {
+		g.shed = now
+	}
 	leaving := g.leaving
 	g.mu.Unlock()
-	if len(due) == 0 {
-		return
+	if len(states) > 0 {
+		g.send(kindState, &state{
+			Name: g.opt.Name, Incarnation: g.opt.Incarnation, Leaving: leaving, Seen: seen, Loads: encodeLoads(own, paces),
+		}, states)
+	}
+	if len(totals) > 0 {
+		g.sendTotals(totals)
+	}
+	if shed {
+		for _, server := range g.opt.View.Overfull() {
+			g.Yield(server)
+		}
 	}
-	g.send(&datagram{Kind: kindState, Loads: encodeLoads(own), Leaving: leaving}, due)
 }
 
-// due returns the addresses that get a statement now.
-func (g *Group) due(now time.Time) []netip.AddrPort {
-	var due []netip.AddrPort
-	stretch := max(1, float64(len(g.peers))/peersAtLeast)
+// notice logs the peers that are lost or back, and ends the role of a hub that gets
+// no statements. The lock is held.
+func (g *Group) notice(now time.Time) {
+	stated := false
 	for name, p := range g.peers {
-		if p.alive && now.Sub(p.heard) > aliveFor {
-			p.alive = false
-			klog.InfoS("dependency lost", "dependency", "peer", "peer", name, "silentFor", now.Sub(p.heard))
+		present := p.present(now)
+		if present != p.alive {
+			p.alive = present
+			word := "dependency regained"
+			if !present {
+				word = "dependency lost"
+			}
+			klog.InfoS(word, "dependency", "peer", "peer", name, "incarnation", p.Incarnation)
+		}
+		if now.Sub(p.stated) < heardFor {
+			stated = true
+		} else if !p.stated.IsZero() {
+			p.stated = time.Time{}
 			g.opt.View.PeerGone(name)
 		}
-		if !p.to.IsValid() {
-			continue
+	}
+	if g.hub && !stated {
+		g.hub = false
+		klog.InfoS("not a hub any more")
+	}
+}
+
+// ranking returns the instances in the order of hubs; with all also those that are
+// not thought to be alive. The lock is held.
+func (g *Group) ranking(now time.Time, all bool) []string {
+	cores := map[string]float64{}
+	if !g.leaving {
+		cores[g.opt.Name] = g.opt.Cores
+	}
+	for name, p := range g.peers {
+		if all || p.present(now) && !p.leaving {
+			cores[name] = p.Cores
+		}
+	}
+	return rankHubs(cores)
+}
+
+// statesDue returns the addresses that get a statement now. The lock is held.
+func (g *Group) statesDue(now time.Time) []netip.AddrPort {
+	var due []netip.AddrPort
+	add := func(name string, interval time.Duration) {
+		p := g.peers[name]
+		if p == nil || now.Sub(p.sentState) < interval {
+			return
+		}
+		if to, ok := p.to(); ok {
+			p.sentState = now
+			due = append(due, to)
 		}
-		interval := farInterval
-		if p.DataCentre == g.opt.DataCentre {
+	}
+	for _, name := range first(g.ranking(now, false), hubs) {
+		interval := quietInterval
+		if p := g.peers[name]; p != nil && g.changed.After(p.sentState) {
 			interval = stateInterval
 		}
-		interval = time.Duration(float64(interval) * stretch)
-		switch {
-		case !p.alive:
-			interval = helloInterval
-		case !g.changed.After(p.sent):
-			interval = max(interval, quietInterval)
+		add(name, interval)
+	}
+	for _, name := range first(g.ranking(now, true), hubs) {
+		add(name, helloInterval)
+	}
+	return due
+}
+
+// totalsDue returns the addresses of the peers that stated and get the totals now.
+// The lock is held.
+func (g *Group) totalsDue(now time.Time) []netip.AddrPort {
+	var due []netip.AddrPort
+	for _, p := range g.peers {
+		if now.Sub(p.stated) > heardFor || now.Sub(p.sentTotal) < totalInterval {
+			continue
 		}
-		if now.Sub(p.sent) >= interval {
-			p.sent = now
-			due = append(due, p.to)
+		if to, ok := p.to(); ok {
+			p.sentTotal = now
+			due = append(due, to)
 		}
 	}
 	return due
 }
 
-func (g *Group) send(d *datagram, to []netip.AddrPort) {
-	d.Name, d.Incarnation = g.opt.Name, g.opt.Incarnation
-	raw, err := encode(d)
+func (g *Group) sendTotals(to []netip.AddrPort) {
+	now := time.Now()
+	t := &total{Name: g.opt.Name, Loads: encodeLoads(g.opt.View.Total(), nil)}
+	g.mu.Lock()
+	if !g.leaving {
+		t.Alive = append(t.Alive, member{Name: hash(g.opt.Name), Incarnation: g.opt.Incarnation})
+	}
+	for name, p := range g.peers {
+		if now.Sub(p.heard) < heardFor && !p.leaving {
+			t.Alive = append(t.Alive, member{Name: hash(name), Incarnation: p.Incarnation})
+		}
+	}
+	g.mu.Unlock()
+	g.send(kindTotal, t, to)
+}
+
+func first(names []string, n int) []string { return names[:min(n, len(names))] }
+
+// to returns the peer's address.
+func (p *peer) to() (netip.AddrPort, bool) {
+	to, err := netip.ParseAddrPort(p.Address)
+	return to, err == nil
+}
+
+func (g *Group) send(k kind, body any, to []netip.AddrPort) {
+	raw, err := encode(k, body)
 	if err != nil {
-		klog.ErrorS(err, "datagram not encoded")
+		klog.ErrorS(err, "datagram not encoded", "kind", k)
 		return
 	}
 	for _, address := range to {
@@ -243,26 +402,19 @@
 }
 
 // Yield asks for the slot of one batch request on a server: of this instance's own
-// requests or, when it has none there, of one peer that states some.
+// requests or, when it has none there, of the peer that states most.
 func (g *Group) Yield(server string) {
 	if g.opt.OnYield(server) {
 		return
 	}
-	holders := g.opt.View.BatchHolders(server)
-	if len(holders) == 0 {
-		return
-	}
-	now := time.Now()
 	g.mu.Lock()
-	if now.Sub(g.yields[server]) < yieldInterval {
-		g.mu.Unlock()
+	p := g.peers[g.opt.View.Holder(server)]
+	g.mu.Unlock()
+	if p == nil {
 		return
 	}
-	g.yields[server] = now
-	p := g.peers[holders[rand.IntN(len(holders))]]
-	g.mu.Unlock()
-	if p != nil && p.to.IsValid() {
-		g.send(&datagram{Kind: kindYield, Server: serverHash(server)}, []netip.AddrPort{p.to})
+	if to, ok := p.to(); ok {
+		g.send(kindYield, &yield{Server: hash(server)}, []netip.AddrPort{to})
 	}
 }
 
@@ -271,100 +423,23 @@
 	g.mu.Lock()
 	g.leaving = true
 	for _, p := range g.peers {
-		p.sent = time.Time{}
+		p.sentState = time.Time{}
 	}
 	g.mu.Unlock()
-	g.state()
+	g.tick()
 }
 
-// Alive returns the incarnations of the peers that are heard and not leaving, by
-// name.
+// Alive returns the incarnations of the other instances that are thought to be alive
+// and not leaving, by name.
 func (g *Group) Alive() map[string]uint32 {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	alive := map[string]uint32{}
 	for name, p := range g.peers {
-		if p.alive && !p.leaving {
+		if p.present(now) && !p.leaving {
 			alive[name] = p.Incarnation
 		}
 	}
 	return alive
 }
-
-// Apply takes the entries of the instances' feed.
-func (g *Group) Apply(entries []port.Entry[Instance], _ bool) {
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, e := range entries {
-		if e.Key == g.opt.Name || e.Value == nil {
-			continue
-		}
-		to, err := netip.ParseAddrPort(e.Value.Address)
-		if err != nil {
-			klog.InfoS("entry of an instance ignored", "peer", e.Key, "err", err)
-			continue
-		}
-		p := g.peers[e.Key]
-		if p == nil {
-			p = &peer{known: now}
-			g.peers[e.Key] = p
-		}
-		p.Instance, p.to = *e.Value, to
-	}
-}
-
-// Announce keeps the instance's entry in the store, lists those of the others, and
-// drops the entries of instances that have been silent for long.
-func (g *Group) Announce(ctx context.Context, interval time.Duration) {
-	for ctx.Err() == nil {
-		entries, _, err := g.opt.Feed.Newest(ctx)
-		pause := announceRetry
-		if err == nil {
-			g.Apply(entries, true)
-			g.forget(ctx)
-			if g.listed(entries) {
-				pause = interval
-			} else if err := g.announce(ctx); err != nil {
-				klog.InfoS("instance not announced", "err", err)
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-	}
-}
-
-func (g *Group) announce(ctx context.Context) error {
-	self := &Instance{Address: g.opt.Listen, DataCentre: g.opt.DataCentre, Incarnation: g.opt.Incarnation}
-	return g.opt.Feed.Put(ctx, g.opt.Name, self)
-}
-
-// listed reports whether the instance's own entry stands in the store.
-func (g *Group) listed(entries []port.Entry[Instance]) bool {
-	for _, e := range entries {
-		if e.Key == g.opt.Name && e.Value != nil && e.Value.Incarnation == g.opt.Incarnation {
-			return true
-		}
-	}
-	return false
-}
-
-func (g *Group) forget(ctx context.Context) {
-	now := time.Now()
-	var gone []string
-	g.mu.Lock()
-	for name, p := range g.peers {
-		if now.Sub(p.known) > forgetAfter && now.Sub(p.heard) > forgetAfter {
-			gone = append(gone, name)
-			delete(g.peers, name)
-		}
-	}
-	g.mu.Unlock()
-	for _, name := range gone {
-		if err := g.opt.Feed.Put(ctx, name, nil); err != nil {
-			klog.InfoS("entry of a lost instance not dropped", "peer", name, "err", err)
-		}
-	}
-}
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -93,7 +93,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
 	i := &Instance{
 		settings: s, platform: p, incarnation: rand.Uint32(),
-		view: fleet.NewView(s.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		view: fleet.NewView(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pool: exchange.NewPool(exchange.Options{}), index: jobs.NewIndex(p.Store), jobMetrics: &jobs.Metrics{},
 	}
 	bulk := jobs.NewBulk(p.Store, jobs.Limits{
@@ -101,7 +101,7 @@
 		CacheBytes: int(cacheShare * float64(s.Limits.MemoryMB<<20)),
 	})
 	group, err := peers.NewGroup(peers.Options{
-		Name: s.Instance, DataCentre: s.DataCentre, Incarnation: i.incarnation,
+		Name: s.Instance, DataCentre: s.DataCentre, Cores: s.Limits.Cores, Incarnation: i.incarnation,
 		Listen: net.JoinHostPort(s.Listen.IP, strconv.Itoa(int(s.Listen.FirstPort))),
 		View:   i.view, Feed: p.Instances, OnYield: func(server string) bool { return i.runner.Yield(server) },
 	})
@@ -111,10 +111,10 @@
 	i.group = group
 	i.runner = &jobs.Runner{
 		Index: i.index, Bulk: bulk, View: i.view, Pool: i.pool, Protocol: p.Protocol, Codec: p.Protocol,
-		Members: group, Metrics: i.jobMetrics, Instance: s.Instance, Incarnation: i.incarnation,
+		Members: group, Placer: group, Metrics: i.jobMetrics, Instance: s.Instance, Incarnation: i.incarnation,
 	}
 	i.runner.Start()
-	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Yielder: group, Metrics: gateway.NewMetrics()}
+	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Metrics: gateway.NewMetrics()}
 	i.gateway.Jobs = &jobs.Service{
 		Index: i.index, Bulk: bulk, Runner: i.runner, Codec: p.Protocol, Revision: i.view.Revision,
 		Refuse: i.refuse, Instance: s.Instance, Incarnation: i.incarnation,
--- a/node/serve/settings.go
+++ b/node/serve/settings.go
@@ -34,6 +34,8 @@
 // Limits are those of the machine.
 type Limits struct {
 	MemoryMB int64 `toml:"memory_mb"`
+	// Cores is the processor of the machine.
+	Cores float64 `toml:"cores"`
 	// Descriptors are the file descriptors of the process.
 	Descriptors int64 `toml:"descriptors"`
 }
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -18,6 +18,12 @@
 	Once bool
 	// Tried holds the servers that have had the request.
 	Tried map[string]bool
+	// Home is the data centre of the instance that asks; bytes between data centres
+	// are priced.
+	Home string
+	// Exact is set when the table shows all requests in flight, so that the best
+	// server can be taken.
+	Exact bool
 	// Headroom is the number of slots that a batch request leaves free.
 	Headroom int
 }
@@ -36,7 +42,9 @@
 
 // Weights of a score. The unit is a full server.
 const (
-	otherCentre = 0.06
+	// otherCentre is about one of eight slots: a request stays in its data centre
+	// while servers there are about as busy.
+	otherCentre = 0.13
 	failureCost = 2.0
 	// onceFailureCost keeps requests that cannot be repeated away from failing
 	// servers.
@@ -47,6 +55,8 @@
 	// batchFailureLimit is the failure rate from which batch requests, which can
 	// wait, are not sent to a server.
 	batchFailureLimit = 0.5
+	// avoidFailures is the failure rate from which an instance asks for another server.
+	avoidFailures = 0.35
 	// paceExponent damps the effect of the measured pace.
 	paceExponent = 0.5
 	// draws is the number of candidates that are drawn; the best of them is taken.
@@ -85,7 +95,7 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	best := t.draw(candidates)
+	best := t.draw(candidates, q.Exact)
 	if !best.downUntil.IsZero() && best.dead > 0 {
 		best.trial = true
 	}
@@ -136,15 +146,18 @@
 		cost = onceFailureCost
 	}
 	s += cost * b.failureRate(now)
-	if b.server.DataCentre != t.home {
+	if q.Home != "" && b.server.DataCentre != q.Home {
 		s += otherCentre
 	}
 	return s
 }
 
 // draw takes the best of a few candidates that are drawn at random.
-func (t *Table) draw(list []candidate) *backend {
+func (t *Table) draw(list []candidate, exact bool) *backend {
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	if exact {
+		return list[0].backend
+	}
 	// Servers that would make the request wait are no alternatives to those that
 	// would not.
 	n := len(list)
@@ -190,18 +203,48 @@
 	return free, slots, servers
 }
 
-// Excess returns, by server, how many of this instance's batch requests stand
-// above the slots of their server. Peers that see the same excess share it in
-// proportion to what they have there.
-func (t *Table) Excess() map[string]float64 {
-	excess := map[string]float64{}
+// Take returns the choice of a server that another instance has picked, or false
+// when this instance does not know the server or does not use it.
+func (t *Table) Take(now time.Time, server string, q Query) (Choice, bool) {
+	b := t.backends[server]
+	if b == nil || !b.server.Usable() || q.Tried[server] || b.dead > 0 && now.Before(b.downUntil) {
+		return Choice{}, false
+	}
+	return b.choice(), true
+}
+
+// Avoid returns the servers of a service that this instance would not use for a
+// request: those that were tried, that do not answer, or that fail.
+func (t *Table) Avoid(now time.Time, q Query) []string {
+	var ids []string
+	for _, b := range t.services[q.Service] {
+		lost := b.dead > 0 && (now.Before(b.downUntil) || b.trial || q.Once)
+		if q.Tried[b.server.ID] || lost || b.failureRate(now) > avoidFailures {
+			ids = append(ids, b.server.ID)
+		}
+	}
+	return ids
+}
+
+// Holder returns a peer that has batch requests on a server, or "".
+func (t *Table) Holder(server string) string {
+	best, most := "", 0
+	for name, s := range t.peers {
+		if n := s.counts[server][Batch]; n > most {
+			best, most = name, n
+		}
+	}
+	return best
+}
+
+// Overfull returns the servers that have batch requests and more requests than
+// slots.
+func (t *Table) Overfull() []string {
+	var ids []string
 	for id, b := range t.backends {
-		over := b.busy() - b.slots()
-		if over <= 0 || b.own[Batch] == 0 {
-			continue
+		if b.busy() > b.slots() && b.own[Batch]+b.peers[Batch] > 0 {
+			ids = append(ids, id)
 		}
-		background := b.own[Batch] + b.peers[Batch]
-		excess[id] = float64(min(over, background)) * float64(b.own[Batch]) / float64(background)
 	}
-	return excess
+	return ids
 }
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -24,8 +24,8 @@
 func (c Counts) total() int { return c[Online] + c[Batch] }
 
 const (
-	// peerLifetime is the age from which a peer's statement is ignored: ten of the
-	// longest intervals between statements that change.
+	// peerLifetime is the age from which a peer's statement is ignored: several of the
+	// longest intervals between statements.
 	peerLifetime = 2 * time.Second
 	// failShare is the weight of one outcome in a server's failure rate, and
 	// failHalfLife lets the rate fall when nothing is sent to the server.
@@ -58,9 +58,20 @@
 	pace time.Duration
 }
 
+// Grant is a place that was given to a peer and that its statements may not show yet.
+type Grant struct {
+	// Sequence numbers the peer's questions.
+	Sequence uint64
+	Server   string
+	Class    Class
+}
+
+// statement is what a peer has in flight, as it stated it, and what it was granted
+// since.
 type statement struct {
 	at     time.Time
 	counts map[string]Counts
+	grants []Grant
 }
 
 // Table is the view of one instance.
@@ -69,14 +80,13 @@
 	services map[string][]*backend
 	peers    map[string]*statement
 	random   *rand.Rand
-	home     string
 }
 
-// NewTable returns an empty table for an instance in the data centre home.
-func NewTable(home string, random *rand.Rand) *Table {
+// NewTable returns an empty table.
+func NewTable(random *rand.Rand) *Table {
 	return &Table{
 		backends: map[string]*backend{}, services: map[string][]*backend{}, peers: map[string]*statement{},
-		random: random, home: home,
+		random: random,
 	}
 }
 
@@ -96,10 +106,12 @@
 			b = &backend{}
 			t.backends[id] = b
 		}
-		b.server = s
+		b.server, b.peers = s, Counts{}
 		t.services[s.Service] = append(t.services[s.Service], b)
 	}
-	t.sumPeers()
+	for _, s := range t.peers {
+		t.add(s, 1)
+	}
 }
 
 func (b *backend) slots() int {
@@ -111,46 +123,87 @@
 
 func (b *backend) busy() int { return b.own.total() + b.peers.total() }
 
-// Peer records what a peer has in flight by server.
-func (t *Table) Peer(now time.Time, name string, counts map[string]Counts) {
-	t.peers[name] = &statement{at: now, counts: counts}
-	t.sumPeers()
+// add adds a peer's statement to the sums of the servers, or takes it out with -1.
+func (t *Table) add(s *statement, sign int) {
+	for id, c := range s.counts {
+		if b := t.backends[id]; b != nil {
+			b.peers[Online] += sign * c[Online]
+			b.peers[Batch] += sign * c[Batch]
+		}
+	}
+	for _, g := range s.grants {
+		if b := t.backends[g.Server]; b != nil {
+			b.peers[g.Class] += sign
+		}
+	}
+}
+
+// Peer records what a peer has in flight by server. The statement shows the grants
+// up to the sequence number seen.
+func (t *Table) Peer(now time.Time, name string, counts map[string]Counts, seen uint64) {
+	next := &statement{at: now, counts: counts}
+	if old := t.peers[name]; old != nil {
+		t.add(old, -1)
+		for _, g := range old.grants {
+			if g.Sequence > seen {
+				next.grants = append(next.grants, g)
+			}
+		}
+	}
+	t.peers[name] = next
+	t.add(next, 1)
+}
+
+// Grant records a place that is given to a peer.
+func (t *Table) Grant(now time.Time, name string, g Grant) {
+	s := t.peers[name]
+	if s == nil {
+		s = &statement{at: now}
+		t.peers[name] = s
+	}
+	s.grants = append(s.grants, g)
+	if b := t.backends[g.Server]; b != nil {
+		b.peers[g.Class]++
+	}
 }
 
 // Forget drops the statements of a peer that has left.
 func (t *Table) Forget(name string) {
-	if t.peers[name] != nil {
+	if s := t.peers[name]; s != nil {
+		t.add(s, -1)
 		delete(t.peers, name)
-		t.sumPeers()
 	}
 }
 
 // Expire drops the statements of peers that have gone silent.
 func (t *Table) Expire(now time.Time) {
-	dropped := false
 	for name, s := range t.peers {
 		if now.Sub(s.at) > peerLifetime {
-			delete(t.peers, name)
-			dropped = true
+			t.Forget(name)
 		}
 	}
-	if dropped {
-		t.sumPeers()
-	}
 }
 
-func (t *Table) sumPeers() {
-	for _, b := range t.backends {
-		b.peers = Counts{}
+// Total returns what is in flight by server, this instance's own included.
+func (t *Table) Total() map[string]Counts {
+	counts := map[string]Counts{}
+	for id, b := range t.backends {
+		if b.busy() > 0 {
+			counts[id] = Counts{b.own[Online] + b.peers[Online], b.own[Batch] + b.peers[Batch]}
+		}
 	}
-	for _, s := range t.peers {
-		for id, c := range s.counts {
-			if b := t.backends[id]; b != nil {
-				b.peers[Online] += c[Online]
-				b.peers[Batch] += c[Batch]
-			}
+	return counts
+}
+
+// Paces returns the measured paces of the servers that this instance uses now.
+func (t *Table) Paces() map[string]time.Duration {
+	paces := map[string]time.Duration{}
+	for id, b := range t.backends {
+		if b.own.total() > 0 && b.pace > 0 {
+			paces[id] = b.pace
 		}
 	}
+	return paces
 }
 
 // Own returns what this instance has in flight, by server.
