Tests of the forwarding core, placement, job records and batch jobs on sockets and a store stand-in

Each test names its failure. New faults found while writing them: a record with a negative number of items ended the fold (now void); a submission waited 2.5 s for a store that is away (now refused within six times the store's usual append time, so that its caller is accepted in time elsewhere).

--- a/domain/joblog/book.go
+++ b/domain/joblog/book.go
@@ -93,7 +93,7 @@
 }
 
 func (b *Book) accept(now time.Time, a *Accepted) *Job {
-	if a.Job == "" || b.jobs[a.Job] != nil {
+	if a.Job == "" || a.Items < 1 || a.Items > MaxItems || b.jobs[a.Job] != nil {
 		return nil
 	}
 	j := &Job{Accepted: *a, Items: make([]Item, a.Items), Seen: now}
--- a/domain/joblog/record.go
+++ b/domain/joblog/record.go
@@ -2,6 +2,9 @@
 
 import "encoding/json"
 
+// MaxItems is the largest number of items of a job, as the platform states it.
+const MaxItems = 200
+
 // Extent names consecutive records of the bulk topic that hold one blob.
 type Extent struct {
 	Partition int   `json:"p"`
--- /dev/null
+++ b/node/gateway/fakes_test.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/node/exchange"
+	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+)
+
+// protocol uses header names of its own: the gateway must not depend on any.
+type protocol struct{}
+
+func (protocol) Request(h http.Header) serving.Request {
+	ms, _ := strconv.Atoi(h.Get("Patience"))
+	r := serving.Request{ID: h.Get("Id"), Patience: time.Duration(ms) * time.Millisecond}
+	if v := h.Get("After"); v != "" {
+		r.ResumeAfter, _ = strconv.ParseInt(v, 10, 64)
+		r.Resumes = true
+	}
+	return r
+}
+
+func (protocol) Address(h http.Header, server string, _ time.Duration, after int64, resumes bool) {
+	h.Set("Expect-Server", server)
+	h.Del("After")
+	if resumes {
+		h.Set("After", strconv.FormatInt(after, 10))
+	}
+}
+
+func (protocol) Answer(_ int, h http.Header) serving.Answer {
+	return serving.Answer{RequestID: h.Get("Id"), NotRun: h.Get("Refused") != "", Signed: h.Get("Signature") != ""}
+}
+
+func (protocol) Refusal(h http.Header, after time.Duration) {
+	h.Set("Come-Back", strconv.FormatInt(after.Milliseconds(), 10))
+}
+
+// noJobs takes no calls.
+type noJobs struct{}
+
+func (noJobs) Serve(http.ResponseWriter, *http.Request, *serving.Route) bool { return false }
+
+// localPlacer places by the view alone.
+type localPlacer struct{ view *fleet.View }
+
+func (p localPlacer) Place(q balance.Query) (*fleet.Lease, bool) { return p.view.Pick(q) }
+
+// script answers the requests that reach any server, in their order: n counts from 0.
+type script func(c net.Conn, r *http.Request, n int)
+
+// fakeFleet is a gateway with servers that follow one script.
+type fakeFleet struct {
+	url  string
+	view *fleet.View
+
+	mu   sync.Mutex
+	runs []*http.Request
+}
+
+func (f *fakeFleet) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.runs)
+}
+
+const testHost = "h.example"
+
+// newFleet starts servers of one service and a gateway with one route.
+func newFleet(t *testing.T, servers int, route serving.Route, answer script) *fakeFleet {
+	t.Helper()
+	f := &fakeFleet{view: fleet.NewView(rand.New(rand.NewPCG(1, 2)))}
+	var entries []port.Entry[serving.Server]
+	for i := range servers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		go f.serve(l, answer)
+		id := fmt.Sprintf("s%d", i)
+		entries = append(entries, port.Entry[serving.Server]{Key: id, Value: &serving.Server{ID: id, Service: "svc", Address: l.Addr().String(), Slots: 4}})
+	}
+	route.Name, route.Host, route.Prefix = "r", testHost, "/p/"
+	route.Targets = []serving.Target{{Service: "svc", Weight: 1}}
+	revision := &serving.Revision{Version: 1, Routes: []*serving.Route{&route}, Services: map[string]*serving.Service{"svc": {Name: "svc"}}}
+	revision.Index()
+	f.view.ApplyServers(entries, true)
+	f.view.ApplyConfig([]port.Entry[serving.Revision]{{Key: "c", Value: revision}}, true)
+	pool := exchange.NewPool(exchange.Options{})
+	t.Cleanup(pool.Close)
+	front := httptest.NewServer(&Gateway{View: f.view, Pool: pool, Protocol: protocol{}, Jobs: noJobs{}, Placer: localPlacer{f.view}, Metrics: NewMetrics()})
+	t.Cleanup(front.Close)
+	f.url = front.URL
+	return f
+}
+
+func (f *fakeFleet) serve(l net.Listener, answer script) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			n := len(f.runs)
+			f.runs = append(f.runs, r)
+			f.mu.Unlock()
+			answer(conn, r, n)
+		}()
+	}
+}
+
+// send sends a request with one attempt of a caller.
+func (f *fakeFleet) send(t *testing.T, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, f.url+"/p/x?q=1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = testHost
+	r.Header.Set("Id", "id-1")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return answer, string(body), err
+}
+
+func whole(status int, body string, header ...string) string {
+	s := fmt.Sprintf("HTTP/1.1 %d X\r\nConnection: close\r\nId: id-1\r\nContent-Length: %d\r\n", status, len(body))
+	for i := 0; i < len(header); i += 2 {
+		s += header[i] + ": " + header[i+1] + "\r\n"
+	}
+	return s + "\r\n" + body
+}
+
+// streamHead begins a stream; chunk adds to it and endOfStream ends it.
+const (
+	streamHead  = "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	endOfStream = "0\r\n\r\n"
+)
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id) }
--- /dev/null
+++ b/node/jobs/fixture_test.go
@@ -0,0 +1,311 @@
+package jobs_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/node/exchange"
+	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/node/jobs"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/platform"
+	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/standin/store"
+)
+
+const (
+	testHost = "h.example"
+	// testLimit bounds the wait for something that has to come; it is no measure.
+	testLimit = 20 * time.Second
+)
+
+// protocol uses names of its own, both for headers and for the calls about jobs.
+type protocol struct{}
+
+func (protocol) Request(http.Header) serving.Request { return serving.Request{} }
+
+func (protocol) Address(h http.Header, _ string, _ time.Duration, after int64, resumes bool) {
+	if resumes {
+		h.Set("After", strconv.FormatInt(after, 10))
+	}
+}
+
+func (protocol) Answer(_ int, h http.Header) serving.Answer {
+	return serving.Answer{RequestID: h.Get("Id"), NotRun: h.Get("Refused") != "", Signed: h.Get("Signature") != ""}
+}
+
+func (protocol) Refusal(http.Header, time.Duration) {}
+func (protocol) SetID(h http.Header, id string)     { h.Set("Id", id) }
+func (protocol) Submission(b []byte) ([]jobs.Item, error) {
+	var items []jobs.Item
+	err := json.Unmarshal(b, &items)
+	return items, err
+}
+
+func (protocol) Call(r *http.Request, _ bool) (jobs.Call, bool) {
+	kind, _ := strconv.Atoi(r.Header.Get("Kind"))
+	after, _ := strconv.Atoi(r.Header.Get("From"))
+	wait, _ := strconv.Atoi(r.Header.Get("Wait"))
+	return jobs.Call{
+		Kind: jobs.CallKind(kind), Job: r.Header.Get("Job"), Item: r.Header.Get("Item"), After: after,
+		Wait: time.Duration(wait) * time.Millisecond,
+	}, kind != 0
+}
+
+// answerOf is the test's form of results.
+type answerOf struct {
+	Total   int
+	Results []jobs.Listed
+}
+
+func (protocol) Results(total, _ int, listed []jobs.Listed) ([]byte, error) {
+	return json.Marshal(answerOf{total, listed})
+}
+
+// members is what instances believe of each other.
+type members struct {
+	mu    sync.Mutex
+	alive map[string]uint32
+}
+
+func (m *members) Alive() map[string]uint32 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	alive := map[string]uint32{}
+	for name, incarnation := range m.alive {
+		alive[name] = incarnation
+	}
+	return alive
+}
+
+func (m *members) set(name string, incarnation uint32) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if incarnation == 0 {
+		delete(m.alive, name)
+		return
+	}
+	m.alive[name] = incarnation
+}
+
+type localPlacer struct{ view *fleet.View }
+
+func (p localPlacer) Place(q balance.Query) (*fleet.Lease, bool) {
+	q.Exact = true
+	return p.view.Pick(q)
+}
+
+// modelServer makes outputs of events until its script says otherwise.
+type modelServer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	runs     map[string]int
+	// answer may take over a run; it returns false to let the server go on.
+	answer func(c net.Conn, r *http.Request, run int) bool
+}
+
+// events is the number of events of each output.
+const events = 4
+
+func output(id string) string {
+	text := ""
+	for n := 1; n <= events; n++ {
+		if n > 1 {
+			text += "\n"
+		}
+		text += fmt.Sprintf("%s-%d", id, n)
+	}
+	return text
+}
+
+func (s *modelServer) count(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+func (s *modelServer) serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			id := r.Header.Get("Id")
+			s.mu.Lock()
+			run, answer := s.runs[id], s.answer
+			s.runs[id]++
+			s.mu.Unlock()
+			if answer == nil || !answer(conn, r, run) {
+				head(conn, id)
+				from, _ := strconv.Atoi(r.Header.Get("After"))
+				for n := from + 1; n <= events; n++ {
+					event(conn, id, n)
+				}
+				fmt.Fprint(conn, "0\r\n\r\n")
+			}
+		}()
+	}
+}
+
+func head(c net.Conn, id string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nId: %s\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+}
+
+func event(c net.Conn, id string, n int) {
+	text := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n)
+	fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+}
+
+func status(c net.Conn, id string, code int) {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nConnection: close\r\nId: %s\r\nContent-Length: 0\r\n\r\n", code, id)
+}
+
+// site is a store, a model server and the instances.
+type site struct {
+	t       *testing.T
+	store   *store.Store
+	server  *modelServer
+	members *members
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &site{t: t, store: store.New(), server: &modelServer{listener: l, runs: map[string]int{}}, members: &members{alive: map[string]uint32{}}}
+	go s.server.serve()
+	t.Cleanup(func() { _ = l.Close(); s.store.Close() })
+	return s
+}
+
+// instance is one instance's part for jobs.
+type instance struct {
+	*site
+	name   string
+	url    string
+	index  *jobs.Index
+	runner *jobs.Runner
+	kill   func()
+}
+
+// start starts an instance; incarnation tells its starts apart.
+func (s *site) start(name string, incarnation uint32) *instance {
+	s.t.Helper()
+	client := platform.NewStore(s.store.Address(), exchange.Dial)
+	view := fleet.NewView(rand.New(rand.NewPCG(uint64(incarnation), 2)))
+	view.ApplyServers([]port.Entry[serving.Server]{{Key: "s0", Value: &serving.Server{ID: "s0", Service: "svc", Address: s.server.listener.Addr().String(), Slots: 8}}}, true)
+	route := &serving.Route{Name: "batch", Host: testHost, Prefix: "/b/", Kind: serving.Batch, MaxAttempts: 3, Due: time.Minute, Targets: []serving.Target{{Service: "svc", Weight: 1}}}
+	revision := &serving.Revision{Version: 1, Routes: []*serving.Route{route}}
+	revision.Index()
+	view.ApplyConfig([]port.Entry[serving.Revision]{{Key: "c", Value: revision}}, true)
+	pool := exchange.NewPool(exchange.Options{})
+	bulk := jobs.NewBulk(client, jobs.Limits{RecordBytes: 64 << 10, CallBytes: 1 << 20, Partitions: 4, CacheBytes: 1 << 20})
+	i := &instance{site: s, name: name, index: jobs.NewIndex(client)}
+	i.runner = &jobs.Runner{
+		Index: i.index, Bulk: bulk, View: view, Pool: pool, Protocol: protocol{}, Codec: protocol{}, Members: s.members,
+		Placer: localPlacer{view}, Metrics: &jobs.Metrics{}, Instance: name, Incarnation: incarnation,
+	}
+	i.runner.Start()
+	service := &jobs.Service{
+		Index: i.index, Bulk: bulk, Runner: i.runner, Codec: protocol{}, Revision: view.Revision, Instance: name, Incarnation: incarnation,
+		Refuse: func(w http.ResponseWriter, status int, _ time.Duration, cause string) { http.Error(w, cause, status) },
+	}
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { service.Serve(w, r, route) }))
+	i.url = front.URL
+	s.members.set(name, incarnation)
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties sync.WaitGroup
+	for _, duty := range []func(context.Context){i.index.Follow, i.index.Commit, i.runner.Run} {
+		duties.Go(func() { duty(ctx) })
+	}
+	var once sync.Once
+	i.kill = func() {
+		once.Do(func() {
+			s.members.set(name, 0)
+			cancel()
+			front.CloseClientConnections()
+			front.Close()
+			duties.Wait()
+			pool.Close()
+		})
+	}
+	s.t.Cleanup(i.kill)
+	return i
+}
+
+// call makes a call about a job; zero means that there was no answer.
+func (i *instance) call(kind jobs.CallKind, job string, body []byte, header ...string) (int, []byte) {
+	i.t.Helper()
+	r, err := http.NewRequest(http.MethodPost, i.url+"/b/x", bodyReader(body))
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	r.Host = testHost
+	r.Header.Set("Kind", strconv.Itoa(int(kind)))
+	r.Header.Set("Job", job)
+	for n := 0; n < len(header); n += 2 {
+		r.Header.Set(header[n], header[n+1])
+	}
+	answer, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	if err != nil {
+		return 0, nil
+	}
+	defer answer.Body.Close()
+	raw, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return answer.StatusCode, raw
+}
+
+func submission(ids ...string) []byte {
+	var items []jobs.Item
+	for _, id := range ids {
+		items = append(items, jobs.Item{ID: id, Path: "/b/" + id, Body: []byte("body of " + id)})
+	}
+	raw, _ := json.Marshal(items)
+	return raw
+}
+
+// await reads a job's results at the instance until n are listed.
+func (i *instance) await(job string, n int) []jobs.Listed {
+	i.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	var listed []jobs.Listed
+	for ctx.Err() == nil {
+		code, raw := i.call(jobs.ReadResults, job, nil, "From", strconv.Itoa(len(listed)), "Wait", "200")
+		if code != http.StatusOK {
+			continue
+		}
+		var a answerOf
+		if err := json.Unmarshal(raw, &a); err != nil {
+			i.t.Fatal(err)
+		}
+		if listed = append(listed, a.Results...); len(listed) >= n {
+			return listed
+		}
+	}
+	i.t.Fatalf("%d of %d results of %s at %s", len(listed), n, job, i.name)
+	return nil
+}
--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -47,6 +47,7 @@
 	fresh time.Time
 
 	appends chan *pendingAppend
+	gauge   gauge
 }
 
 type pendingAppend struct {
@@ -68,6 +69,7 @@
 		case ctx.Err() != nil:
 			return
 		case err != nil:
+			x.gauge.failed(time.Now())
 			if !lost {
 				klog.InfoS("dependency lost", "dependency", "store", "feed", "job index", "cause", err)
 			}
@@ -78,6 +80,7 @@
 			klog.InfoS("dependency regained", "dependency", "store", "feed", "job index")
 			lost = false
 		}
+		x.gauge.answered()
 		if now := time.Now(); now.Sub(purged) > purgeInterval {
 			purged = now
 			x.mu.Lock()
@@ -188,8 +191,12 @@
 		for i, p := range group {
 			records[i] = p.raw
 		}
+		began := time.Now()
 		_, err := x.store.Append(ctx, indexPartition, records)
-		if err != nil {
+		if err == nil {
+			x.gauge.took(time.Since(began))
+		} else {
+			x.gauge.failed(time.Now())
 			klog.InfoS("append to the job index failed", "records", len(group), "noEffect", noEffect(err), "err", err)
 		}
 		for _, p := range group {
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -23,8 +23,6 @@
 	confirmLimit = time.Second
 	// storeRetry is the time after which a caller may return when the store is away.
 	storeRetry = 300 * time.Millisecond
-	// maxItems bounds the items of one job.
-	maxItems = 200
 	// maxResults bounds the texts of one answer, in bytes; the platform allows 1 MB
 	// with its framing.
 	maxResults = 900 << 10
@@ -122,10 +120,14 @@
 		return
 	}
 	items, err := s.Codec.Submission(body)
-	if err != nil || call.Job == "" || len(items) == 0 || len(items) > maxItems {
+	if err != nil || call.Job == "" || len(items) == 0 || len(items) > joblog.MaxItems {
 		s.refuse(w, call, http.StatusBadRequest, "not a submission", err)
 		return
 	}
+	if s.Index.gauge.away(began) {
+		s.refuse(w, call, http.StatusServiceUnavailable, "the store is away", nil)
+		return
+	}
 	// The outcome does not depend on whether this caller stays.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), storeLimit)
 	defer cancel()
@@ -153,10 +155,15 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.Index.gauge.limit())
+	defer cancel()
+	began := time.Now()
 	extents, err := s.Bulk.Write(ctx, partitionOf(call.Job), [][]byte{content})
 	if err != nil {
+		s.Index.gauge.failed(time.Now())
 		return nil, err
 	}
+	s.Index.gauge.took(time.Since(began))
 	host := r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
--- /dev/null
+++ b/standin/store/store.go
@@ -0,0 +1,292 @@
+// Package store is a stand-in for the platform's store. It serves the store's
+// protocol over HTTP, with the faults that the platform describes: refusals, silence,
+// answers that are lost after the append has taken effect, appends that take effect
+// later, and history that is dropped.
+package store
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/platform"
+)
+
+// Fault is what the store does instead of answering.
+type Fault uint8
+
+// The faults.
+const (
+	// None serves calls.
+	None Fault = iota
+	// Busy refuses with 503.
+	Busy
+	// Reset resets the connection before anything is done.
+	Reset
+	// Lost does what is asked and resets the connection instead of answering.
+	Lost
+	// Late resets the connection and does what is asked when Settle is called.
+	Late
+)
+
+// Store is the stand-in. It is safe for concurrent use.
+type Store struct {
+	server *httptest.Server
+
+	mu      sync.Mutex
+	parts   map[port.Partition]*partition
+	changed chan struct{}
+	fault   Fault
+	// appends restricts the fault to appends.
+	appends bool
+	late    []func()
+	calls   map[string]int
+}
+
+type partition struct {
+	first   int64
+	records [][]byte
+}
+
+// New starts an empty store.
+func New() *Store {
+	s := &Store{parts: map[port.Partition]*partition{}, changed: make(chan struct{}), calls: map[string]int{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathAppend, s.append)
+	mux.HandleFunc("GET "+platform.PathRead, s.read)
+	mux.HandleFunc("GET "+platform.PathNewest, s.newest)
+	s.server = httptest.NewServer(mux)
+	return s
+}
+
+// Address returns the store's IP:PORT.
+func (s *Store) Address() string { return s.server.Listener.Addr().String() }
+
+// Close ends the store.
+func (s *Store) Close() {
+	s.SetFault(Busy, false)
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// SetFault makes calls, or only appends, fail from now on.
+func (s *Store) SetFault(f Fault, appends bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault, s.appends = f, appends
+	s.wake()
+}
+
+// Settle does the appends that Late held back.
+func (s *Store) Settle() {
+	s.mu.Lock()
+	late := s.late
+	s.late = nil
+	s.mu.Unlock()
+	for _, f := range late {
+		f()
+	}
+}
+
+// Calls returns the number of calls of a path.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Put appends records, as the platform's other writers do.
+func (s *Store) Put(topic string, number int, records ...[]byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(port.Partition{Topic: topic, Number: number})
+	at := p.first + int64(len(p.records))
+	for _, r := range records {
+		p.records = append(p.records, slices.Clone(r))
+	}
+	s.wake()
+	return at
+}
+
+// Drop deletes the records of a partition before an offset.
+func (s *Store) Drop(topic string, number int, before int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(port.Partition{Topic: topic, Number: number})
+	if n := min(before-p.first, int64(len(p.records))); n > 0 {
+		p.records, p.first = p.records[n:], p.first+n
+	}
+	s.wake()
+}
+
+// wake ends the waits of reads. The lock is held.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) partition(key port.Partition) *partition {
+	p := s.parts[key]
+	if p == nil {
+		p = &partition{}
+		s.parts[key] = p
+	}
+	return p
+}
+
+// failing returns the fault for a call and counts the call.
+func (s *Store) failing(r *http.Request, isAppend bool) Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[r.URL.Path]++
+	if s.appends && !isAppend {
+		return None
+	}
+	return s.fault
+}
+
+// reset closes the connection with a reset.
+func reset(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a close that is not a reset serves as well
+	}
+	_ = conn.Close()
+}
+
+func target(r *http.Request) port.Partition {
+	number, _ := strconv.Atoi(r.URL.Query().Get(platform.QueryPartition)) // an absent number is 0
+	return port.Partition{Topic: r.URL.Query().Get(platform.QueryTopic), Number: number}
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	fault := s.failing(r, true)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	records, err := platform.DecodeRecords(body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	key := target(r)
+	do := func() int64 { return s.Put(key.Topic, key.Number, records...) }
+	switch fault {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case Reset:
+		reset(w)
+	case Lost:
+		do()
+		reset(w)
+	case Late:
+		s.mu.Lock()
+		s.late = append(s.late, func() { do() })
+		s.mu.Unlock()
+		reset(w)
+	default:
+		at := do()
+		answer(w, http.StatusOK, platform.AppendAnswer{Offset: &at, EndOffset: at + int64(len(records))})
+	}
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // a caller that has left needs no answer
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, _ := strconv.ParseInt(query.Get(platform.QueryFrom), 10, 64)
+	wait, _ := strconv.Atoi(query.Get(platform.QueryWait))
+	most, _ := strconv.Atoi(query.Get(platform.QueryKilobytes))
+	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer deadline.Stop()
+	for waited := wait == 0; ; {
+		if fault := s.failing(r, false); fault == Busy {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		} else if fault == Reset {
+			reset(w)
+			return
+		}
+		page, expired, changed := s.page(target(r), from, most<<10)
+		if expired {
+			answer(w, http.StatusGone, platform.Expired{FirstOffset: page.First})
+			return
+		}
+		if len(page.Records) > 0 || waited {
+			_, _ = w.Write(platform.EncodePage(page)) // a caller that has left needs no answer
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			waited = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) page(key port.Partition, from int64, most int) (page port.Page, expired bool, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(key)
+	page.First, page.End = p.first, p.first+int64(len(p.records))
+	if from < p.first {
+		return page, true, s.changed
+	}
+	size := 0
+	for at := from; at < page.End; at++ {
+		raw := p.records[at-p.first]
+		if len(page.Records) > 0 && size+len(raw) > most {
+			break
+		}
+		size += len(raw)
+		page.Records = append(page.Records, port.Record{Offset: at, Payload: raw})
+	}
+	return page, false, s.changed
+}
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	if fault := s.failing(r, false); fault == Busy || fault == Reset {
+		reset(w)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(target(r))
+	values := map[string]platform.NewestRecord{}
+	for i, record := range p.records {
+		key, value, ok := platform.DecodeKeyed(record)
+		if !ok {
+			continue
+		}
+		if len(value) == 0 {
+			delete(values, key)
+			continue
+		}
+		values[key] = platform.NewestRecord{Key: key, Value: base64.StdEncoding.EncodeToString(value), Offset: p.first + int64(i)}
+	}
+	page := platform.NewestPage{EndOffset: p.first + int64(len(p.records))}
+	for _, v := range values {
+		page.Items = append(page.Items, v)
+	}
+	slices.SortFunc(page.Items, func(a, b platform.NewestRecord) int { return strings.Compare(a.Key, b.Key) })
+	answer(w, http.StatusOK, page)
+}
