--- /dev/null
+++ b/node/fleet/fleet_test.go
@@ -0,0 +1,155 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+)
+
+func newView() *View { return NewView(rand.New(rand.NewPCG(1, 2))) }
+
+func revision(version int64) []port.Entry[serving.Revision] {
+	return []port.Entry[serving.Revision]{{Key: "c", Value: &serving.Revision{Version: version}}}
+}
+
+// Guards against an older configuration replacing a newer one, whatever a stale read
+// or a dropped history brings.
+func TestConfigurationNeverReverts(t *testing.T) {
+	v := newView()
+	for _, step := range []struct{ offered, want int64 }{{3, 3}, {7, 7}, {5, 7}, {7, 7}, {8, 8}} {
+		v.ApplyConfig(revision(step.offered), true)
+		if got := v.Revision().Version; got != step.want {
+			t.Fatalf("version %d after %d was offered, want %d", got, step.offered, step.want)
+		}
+	}
+	v.ApplyConfig([]port.Entry[serving.Revision]{{Key: "c"}, {Key: "c", Invalid: errors.New("not JSON")}}, true)
+	if v.Revision().Version != 8 {
+		t.Fatal("an entry that cannot be read replaces the configuration")
+	}
+}
+
+// Guards against an instance that reports itself ready before it can serve.
+func TestReadyNeedsConfigurationAndServers(t *testing.T) {
+	v := newView()
+	if v.Ready() {
+		t.Fatal("ready without any knowledge")
+	}
+	v.ApplyConfig(revision(1), true)
+	if v.Ready() {
+		t.Fatal("ready without servers")
+	}
+	v.ApplyServers(nil, true)
+	if !v.Ready() {
+		t.Fatal("not ready with both")
+	}
+}
+
+// Guards against places on servers that are never given back.
+func TestLeasesAreCounted(t *testing.T) {
+	v := newView()
+	v.ApplyServers([]port.Entry[serving.Server]{{Key: "s", Value: &serving.Server{ID: "s", Service: "svc", Slots: 2}}}, true)
+	var leases []*Lease
+	for range 3 {
+		l, ok := v.Pick(balance.Query{Service: "svc"})
+		if !ok {
+			t.Fatal("no server")
+		}
+		leases = append(leases, l)
+	}
+	if free, slots, servers := v.Room("svc"); free != -1 || slots != 2 || servers != 1 {
+		t.Fatalf("free %d of %d on %d", free, slots, servers)
+	}
+	for _, l := range leases {
+		l.End(balance.Answered)
+	}
+	if free, _, _ := v.Room("svc"); free != 2 {
+		t.Fatalf("free %d after all ended", free)
+	}
+}
+
+// scripted is a feed whose reads follow a script.
+type scripted struct {
+	mu      sync.Mutex
+	reads   []read
+	listed  int
+	changed int
+	done    context.CancelFunc
+}
+
+type read struct {
+	entries []port.Entry[serving.Revision]
+	next    int64
+	err     error
+}
+
+func (f *scripted) step() read {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.reads) == 0 {
+		f.done()
+		return read{err: context.Canceled}
+	}
+	r := f.reads[0]
+	f.reads = f.reads[1:]
+	return r
+}
+
+func (f *scripted) Newest(context.Context) ([]port.Entry[serving.Revision], int64, error) {
+	f.listed++
+	r := f.step()
+	return r.entries, r.next, r.err
+}
+
+func (f *scripted) Changes(context.Context, int64, time.Duration) ([]port.Entry[serving.Revision], int64, error) {
+	f.changed++
+	r := f.step()
+	return r.entries, r.next, r.err
+}
+
+func (f *scripted) Put(context.Context, string, *serving.Revision) error { return nil }
+
+// Guards against a change that is missed after the store was away or has dropped its
+// history, and against the store's return going unnoticed.
+func TestFollowerGoesOnAfterOutageAndLostHistory(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &scripted{done: cancel, reads: []read{
+		{entries: revision(1), next: 1},
+		{err: port.ErrUnavailable},
+		{err: port.ErrOutcomeUnknown},
+		{entries: revision(2), next: 2},
+		{err: &port.ExpiredError{First: 9}},
+		{entries: revision(4), next: 10},
+	}}
+	var versions []int64
+	var confirmed []bool
+	follower := &Follower[serving.Revision]{
+		Name: "test", Feed: f,
+		Apply: func(entries []port.Entry[serving.Revision], _ bool) {
+			versions = append(versions, entries[0].Value.Version)
+		},
+		Confirmed: func(ok bool) { confirmed = append(confirmed, ok) },
+	}
+	follower.Run(ctx)
+	if len(versions) != 3 || versions[0] != 1 || versions[1] != 2 || versions[2] != 4 {
+		t.Fatalf("versions %v", versions)
+	}
+	want := []bool{true, false, false, true, true}
+	if len(confirmed) != len(want) {
+		t.Fatalf("confirmed %v", confirmed)
+	}
+	for i := range want {
+		if confirmed[i] != want[i] {
+			t.Fatalf("confirmed %v", confirmed)
+		}
+	}
+	if f.listed != 2 {
+		t.Fatalf("%d listings, want one at the start and one after the lost history", f.listed)
+	}
+}
--- /dev/null
+++ b/node/peers/peers_test.go
@@ -0,0 +1,263 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+)
+
+// testLimit bounds the wait for something that has to come; it is no measure.
+const testLimit = 20 * time.Second
+
+// Guards against instances that do not agree on the hub, and against a small machine
+// that carries the hub's work while larger ones are there.
+func TestRankHubs(t *testing.T) {
+	cores := map[string]float64{"a": 0.144, "b": 0.8, "c": 0.8, "d": 0.5, "e": 0.2}
+	order := rankHubs(cores)
+	if len(order) != 5 || !slices.Contains(order[:3], "b") || !slices.Contains(order[:3], "c") || !slices.Contains(order[:3], "d") {
+		t.Fatalf("order %v", order)
+	}
+	again := rankHubs(cores)
+	if !slices.Equal(order, again) {
+		t.Fatalf("%v and %v", order, again)
+	}
+	delete(cores, order[0])
+	if rest := rankHubs(cores); !slices.Equal(rest, order[1:]) {
+		t.Fatalf("the loss of %s changes the order: %v", order[0], rest)
+	}
+}
+
+// feed is the instances' topic.
+type feed struct {
+	mu      sync.Mutex
+	entries map[string]Instance
+}
+
+func (f *feed) Newest(context.Context) ([]port.Entry[Instance], int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []port.Entry[Instance]
+	for key, i := range f.entries {
+		list = append(list, port.Entry[Instance]{Key: key, Value: &i})
+	}
+	return list, 0, nil
+}
+
+func (f *feed) Changes(context.Context, int64, time.Duration) ([]port.Entry[Instance], int64, error) {
+	return nil, 0, nil
+}
+
+func (f *feed) Put(_ context.Context, key string, i *Instance) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i == nil {
+		delete(f.entries, key)
+		return nil
+	}
+	f.entries[key] = *i
+	return nil
+}
+
+// node is one instance of a test.
+type node struct {
+	name  string
+	view  *fleet.View
+	group *Group
+	stop  func()
+
+	mu     sync.Mutex
+	yields []string
+	batch  []*fleet.Lease
+}
+
+// yield gives up a batch request of the instance.
+func (n *node) yield(server string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, l := range n.batch {
+		if l.Server.ID == server {
+			l.End(balance.Abandoned)
+			n.batch = slices.Delete(n.batch, i, i+1)
+			n.yields = append(n.yields, server)
+			return true
+		}
+	}
+	return false
+}
+
+func (n *node) yielded() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.yields)
+}
+
+func startNode(t *testing.T, f *feed, name string, servers, slots int) *node {
+	t.Helper()
+	n := &node{name: name, view: fleet.NewView(rand.New(rand.NewPCG(1, 2)))}
+	var entries []port.Entry[serving.Server]
+	for i := range servers {
+		id := fmt.Sprintf("s%d", i)
+		entries = append(entries, port.Entry[serving.Server]{Key: id, Value: &serving.Server{ID: id, Service: "svc", Address: id, Slots: slots}})
+	}
+	n.view.ApplyServers(entries, true)
+	group, err := NewGroup(Options{Name: name, Cores: 1, Incarnation: 1, Listen: "127.0.0.1:0", View: n.view, Feed: f, OnYield: n.yield})
+	if err != nil {
+		t.Fatal(err)
+	}
+	group.opt.Listen = group.conn.LocalAddr().String()
+	n.group = group
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties sync.WaitGroup
+	for _, duty := range []func(context.Context){group.Run, group.State, func(ctx context.Context) { group.Announce(ctx, 20*time.Millisecond) }} {
+		duties.Go(func() { duty(ctx) })
+	}
+	var once sync.Once
+	n.stop = func() { once.Do(func() { cancel(); duties.Wait() }) }
+	t.Cleanup(n.stop)
+	return n
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testLimit); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatal(what)
+}
+
+// startAll starts instances that all know and hear each other.
+func startAll(t *testing.T, count, servers, slots int) []*node {
+	t.Helper()
+	f := &feed{entries: map[string]Instance{}}
+	var nodes []*node
+	for i := range count {
+		nodes = append(nodes, startNode(t, f, fmt.Sprint("n", i), servers, slots))
+	}
+	for _, n := range nodes {
+		waitFor(t, n.name+" does not hear all instances", func() bool { return len(n.group.Alive()) == count-1 })
+	}
+	return nodes
+}
+
+// Guards against instances that send their requests to the same free slot because
+// each sees it free.
+func TestNoSlotIsGivenTwice(t *testing.T) {
+	const servers, slots = 4, 4
+	nodes := startAll(t, 4, servers, slots)
+	var mu sync.Mutex
+	placed := map[string]int{}
+	var wait sync.WaitGroup
+	for i := range servers * slots {
+		wait.Go(func() {
+			lease, ok := nodes[i%len(nodes)].group.Place(balance.Query{Service: "svc", Class: balance.Batch})
+			mu.Lock()
+			defer mu.Unlock()
+			if ok {
+				placed[lease.Server.ID]++
+			}
+		})
+	}
+	wait.Wait()
+	for id, n := range placed {
+		if n > slots {
+			t.Errorf("server %s of %d slots got %d requests", id, slots, n)
+		}
+	}
+}
+
+// Guards against an online request that waits for a batch request of another
+// instance, which nobody asks for its slot.
+func TestOnlineRequestGetsTheSlotOfAnotherInstance(t *testing.T) {
+	nodes := startAll(t, 3, 1, 2)
+	for range 2 {
+		lease, ok := nodes[0].group.Place(balance.Query{Service: "svc", Class: balance.Batch})
+		if !ok {
+			t.Fatal("no slot for a batch request")
+		}
+		nodes[0].mu.Lock()
+		nodes[0].batch = append(nodes[0].batch, lease)
+		nodes[0].mu.Unlock()
+	}
+	// The hub knows the holder by its statement.
+	waitFor(t, "no hub knows the holder", func() bool {
+		for _, n := range nodes {
+			if n.view.Holder("s0") == nodes[0].name {
+				return true
+			}
+		}
+		hub, self := nodes[0].group.currentHub()
+		return hub == nil && self
+	})
+	if _, ok := nodes[1].group.Place(balance.Query{Service: "svc"}); !ok {
+		t.Fatal("no server for an online request")
+	}
+	waitFor(t, "no slot is yielded", func() bool { return nodes[0].yielded() == 1 })
+}
+
+// Guards against requests that find no server while their hub is lost.
+func TestLossOfTheHub(t *testing.T) {
+	nodes := startAll(t, 3, 2, 8)
+	hub, self := nodes[0].group.currentHub()
+	lost := nodes[0]
+	if !self {
+		lost = nodes[slices.IndexFunc(nodes, func(n *node) bool { return n.name == hub.name })]
+	}
+	lost.stop()
+	for _, n := range nodes {
+		if n == lost {
+			continue
+		}
+		if _, ok := n.group.Place(balance.Query{Service: "svc"}); !ok {
+			t.Fatalf("%s finds no server", n.name)
+		}
+		waitFor(t, n.name+" does not notice the loss", func() bool { return len(n.group.Alive()) == 1 })
+		if _, ok := n.group.Place(balance.Query{Service: "svc"}); !ok {
+			t.Fatalf("%s finds no server with another hub", n.name)
+		}
+	}
+}
+
+// Guards against a leaving instance that is still counted on.
+func TestLeavingInstanceIsNotAlive(t *testing.T) {
+	nodes := startAll(t, 3, 1, 8)
+	nodes[2].group.Leave()
+	for _, n := range nodes[:2] {
+		waitFor(t, n.name+" still counts on it", func() bool { _, there := n.group.Alive()[nodes[2].name]; return !there })
+	}
+}
+
+func FuzzReceive(f *testing.F) {
+	for k, body := range map[kind]any{
+		kindState: &state{Name: "n", Loads: []load{{Server: 1, Online: 2}}}, kindTotal: &total{Name: "n", Alive: []member{{Name: 1}}},
+		kindAsk: &ask{Name: "n", Service: "svc", Avoid: []uint32{1}}, kindGrant: &grant{Sequence: 1}, kindYield: &yield{Server: 1},
+	} {
+		raw, err := encode(k, body)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	view := fleet.NewView(rand.New(rand.NewPCG(1, 2)))
+	group, err := NewGroup(Options{Name: "self", Listen: "127.0.0.1:0", View: view, OnYield: func(string) bool { return true }})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = group.conn.Close() })
+	// Answers go to an address at which nobody listens.
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		_ = group.receive(raw, from) // it must not panic
+	})
+}
--- /dev/null
+++ b/node/serve/settings_test.go
@@ -0,0 +1,76 @@
+package serve
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+const sample = `
+instance = "front-1"
+data_centre = "bp-a"
+future_key = true
+[listen]
+callers = "10.1.0.35:8144"
+readiness = "10.1.0.35:8140"
+ip = "10.1.0.35"
+first_port = 7660
+[limits]
+memory_mb = 314
+cores = 0.8
+descriptors = 8200
+[store]
+address = "10.200.1.7:8142"
+partitions = 8
+record_bytes = 262144
+call_bytes = 2097152
+retention_s = 300
+[drain]
+grace_s = 8
+`
+
+// Guards against settings that start an instance half configured, and against keys
+// of a later platform stopping it.
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(sample))
+	if err != nil || s.Instance != "front-1" || s.Listen.FirstPort != 7660 || s.Grace() != 8*time.Second || s.Limits.Cores != 0.8 {
+		t.Fatalf("%+v %v", s, err)
+	}
+	for _, line := range strings.Split(strings.TrimSpace(sample), "\n") {
+		key, _, isKey := strings.Cut(line, " = ")
+		switch key {
+		case "future_key", "cores", "descriptors", "retention_s":
+			continue
+		}
+		if !isKey {
+			continue
+		}
+		_, err := Parse([]byte(strings.Replace(sample, line+"\n", "", 1)))
+		var problem Problem
+		if !errors.As(err, &problem) || !strings.HasSuffix(problem.Key, key) {
+			t.Errorf("without %s: %v", key, err)
+		}
+	}
+	if _, err := Parse([]byte("instance = [")); err == nil || !strings.Contains(err.Error(), "line 1") {
+		t.Errorf("a file that cannot be read: %v", err)
+	}
+	if _, err := Parse([]byte(strings.Replace(sample, "10.200.1.7:8142", "store:8142", 1))); err == nil {
+		t.Error("a name is taken for an address")
+	}
+}
+
+// Guards against a template of the deploy folder that misses a key that the settings
+// need.
+func TestTemplateNamesEveryNeededKey(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/settings.toml.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(sample, "\n") {
+		if key, _, ok := strings.Cut(line, " = "); ok && key != "future_key" && !strings.Contains(string(raw), "\n"+key+" = ") {
+			t.Errorf("the template does not set %s", key)
+		}
+	}
+}
