--- a/cmd/jacinthnotchd/serve.go
+++ b/cmd/jacinthnotchd/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -26,6 +27,10 @@
 
 // Run serves until SIGTERM has drained the instance.
 func (c *serveCmd) Run(out io.Writer) error {
+	// Before anything else: without a receiver SIGHUP ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	s, err := serve.Load(c.Settings)
 	if err != nil || c.Check {
 		return err
@@ -37,6 +42,7 @@
 	defer klog.Flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go reload(ctx, hangups, c.Settings, *s)
 	i, err := serve.New(s, adapter(s.Store.Address))
 	if err != nil {
 		return err
