--- /dev/null
+++ b/cmd/jnctl/explain_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+)
+
+const sampleLog = `I1204 08:00:00.000000   1 serve.go:160] "start" instance="a"
+I1204 08:00:09.000000   1 follow.go:54] "dependency lost" dependency="store" feed="servers"
+I1204 08:00:10.000000   1 call.go:228] "attempt failed" id="r-1" server="s-1" outcome="may have run"
+I1204 08:00:10.100000   1 call.go:228] "attempt failed" id="r-2" server="s-1" outcome="may have run"
+I1204 08:00:10.200000   1 call.go:299] "request" id="r-1" route="x" outcome="refused: no attempt is left" status=502
+I1204 08:00:30.000000   1 view.go:76] "configuration in force" version=9
+`
+
+// Guards against an engineer on call missing what an instance believed when a request
+// failed, or getting lines of other requests and other times.
+func TestExplain(t *testing.T) {
+	var out, errors bytes.Buffer
+	e := &env{ctx: context.Background(), in: strings.NewReader(sampleLog), out: &out, err: &errors}
+	if code := execute(e, []string{"explain", "r-1"}); code != 0 {
+		t.Fatalf("exit %d: %s", code, errors.String())
+	}
+	got := out.String()
+	for _, want := range []string{"dependency lost", "may have run", "status=502"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("%q is missing in\n%s", want, got)
+		}
+	}
+	for _, other := range []string{"r-2", `"start"`, "version=9"} {
+		if strings.Contains(got, other) {
+			t.Errorf("%q stands in\n%s", other, got)
+		}
+	}
+	e.in = strings.NewReader(sampleLog)
+	if code := execute(e, []string{"explain", "r-9"}); code != exitNotFound {
+		t.Errorf("exit %d for an id that no line names", code)
+	}
+}
--- a/cmd/jnctl/main.go
+++ b/cmd/jnctl/main.go
@@ -20,6 +20,7 @@
   jnctl config edit letters.toml --note "more headroom"
   jnctl job submit items.jsonl --window 24h
   jnctl audit --since 1h --follow
+  jnctl explain 8d8a77aae6103dd3 front-1.log front-2.log
 
 Exit codes: 0 done, 1 failure, 2 usage, 3 refused, 4 not found, 5 unavailable,
 6 unknown outcome. Each command's --address names the listener that it uses:
@@ -35,6 +36,7 @@
 	Members    membersCmd    `cmd:"" help:"Show the instances as one instance sees them."`
 	Quarantine quarantineCmd `cmd:"" help:"Show and release requests that crash servers."`
 	Replay     replayCmd     `cmd:"" help:"Send the online requests of a recorded trace to a fleet and show the latencies."`
+	Explain    explainCmd    `cmd:"" help:"Show what logs of instances say of the id of a request, an item or a job."`
 	Standin    StandinCmd    `cmd:"" help:"Run a stand-in for a part of the platform or for a backend server."`
 }
 
