--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -275,18 +275,20 @@
 		c.failure.write(c.writer)
 		return
 	}
-	timeUp := !c.until.IsZero() && time.Until(c.until) <= lateMargin
 	status, retryAfter := http.StatusBadGateway, time.Duration(0)
 	switch {
 	case c.runs == 0:
 		status, retryAfter = http.StatusServiceUnavailable, c.retryAfter()
-	case timeUp:
+	case c.timeUp():
 		status = http.StatusGatewayTimeout
 	}
 	c.log("refused: "+cause, status, c.lastErr)
 	c.gateway.fail(c.writer, status, retryAfter, cause)
 }
 
+// timeUp reports whether the time limit is reached.
+func (c *call) timeUp() bool { return !c.until.IsZero() && time.Until(c.until) <= lateMargin }
+
 // retryAfter returns the time in which the load that stands before the request is
 // expected to be worked off.
 func (c *call) retryAfter() time.Duration {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -279,3 +279,18 @@
 	p.rest = p.rest[n:]
 	return n, nil
 }
+
+// Guards against a server being avoided because a request was longer than its limit.
+func TestServersTimeoutAtTheLimitIsNoFault(t *testing.T) {
+	route := serving.Route{Kind: serving.Unsafe, MaxAttempts: 1, Timeout: 50 * time.Millisecond}
+	f := newFleet(t, 1, route, func(c net.Conn, _ *http.Request, _ int) {
+		time.Sleep(40 * time.Millisecond) // the server works until the deadline that it was given
+		fmt.Fprint(c, whole(http.StatusGatewayTimeout, "late", "Signature", "s"))
+	})
+	if answer, _, err := f.send(t); err != nil || answer.StatusCode != http.StatusGatewayTimeout {
+		t.Fatalf("%v %v", answer, err)
+	}
+	if own := f.view.Own(); own["s0"].Failed != 0 {
+		t.Fatalf("the server's failures: %+v", own["s0"])
+	}
+}
--- a/node/gateway/relay.go
+++ b/node/gateway/relay.go
@@ -46,7 +46,11 @@
 	}
 	result := &plainAnswer{answer.Status, answer.Header, body}
 	if answer.Status >= http.StatusInternalServerError {
-		lease.End(balance.Failed)
+		if answer.Status == http.StatusGatewayTimeout && c.timeUp() {
+			lease.End(balance.Abandoned) // the request was longer than its limit
+		} else {
+			lease.End(balance.Failed)
+		}
 		c.failure = result
 		return c.mayHaveRun(lease, fmt.Errorf("status %d", answer.Status))
 	}
