policy/contain: a request that breaks three servers is held back at all instances

Instances report broken runs by fingerprint to the hubs, which state the ones to hold back; an answer in between clears a fingerprint. Items of jobs that break their servers come to them ever more seldom.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/contain"
 )
 
 const (
@@ -68,8 +69,9 @@
 	arrived  time.Time
 	until    time.Time
 
-	service string
-	tried   map[string]bool
+	fingerprint contain.Fingerprint
+	service     string
+	tried       map[string]bool
 	// sends counts servers that had the request, runs those among them that may
 	// have run it.
 	sends, runs int
@@ -204,6 +206,9 @@
 		lease.End(balance.Unreachable)
 		if !errors.Is(err, exchange.ErrNotSent) {
 			c.gateway.Pool.Forget(lease.Server.Address)
+			if cause == nil {
+				c.gateway.Contain.Broke(c.fingerprint, lease.Server.ID)
+			}
 		}
 	case time.Since(heard) > silentFault:
 		lease.End(balance.Failed)
@@ -257,6 +262,7 @@
 
 // finish logs and counts an answer that was passed on.
 func (c *call) finish(outcome string) {
+	c.gateway.Contain.Answered(c.fingerprint)
 	c.gateway.Metrics.count("delivered")
 	c.gateway.Metrics.first(c.route.Name).Record(c.firstAt)
 	c.gateway.Metrics.total(c.route.Name).Record(time.Since(c.arrived))
--- a/node/gateway/fakes_test.go
+++ b/node/gateway/fakes_test.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/contain"
 )
 
 // protocol uses header names of its own: the gateway must not depend on any.
@@ -59,6 +60,30 @@
 
 func (p localPlacer) Place(q balance.Query) (*fleet.Lease, bool) { return p.view.Pick(q) }
 
+// localContainment keeps a ledger of one instance.
+type localContainment struct {
+	mu     sync.Mutex
+	ledger *contain.Ledger
+}
+
+func (l *localContainment) Held(f contain.Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ledger.Held(time.Now(), f)
+}
+
+func (l *localContainment) Broke(f contain.Fingerprint, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.Broke(time.Now(), f, uint32(server[1]))
+}
+
+func (l *localContainment) Answered(f contain.Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.Answered(f)
+}
+
 // script answers the requests that reach any server, in their order: n counts from 0.
 type script func(c net.Conn, r *http.Request, n int)
 
@@ -102,7 +127,7 @@
 	f.view.ApplyConfig([]port.Entry[serving.Revision]{{Key: "c", Value: revision}}, true)
 	pool := exchange.NewPool(exchange.Options{})
 	t.Cleanup(pool.Close)
-	front := httptest.NewServer(&Gateway{View: f.view, Pool: pool, Protocol: protocol{}, Jobs: noJobs{}, Placer: localPlacer{f.view}, Metrics: NewMetrics()})
+	front := httptest.NewServer(&Gateway{View: f.view, Pool: pool, Protocol: protocol{}, Jobs: noJobs{}, Placer: localPlacer{f.view}, Contain: &localContainment{ledger: contain.NewLedger()}, Metrics: NewMetrics()})
 	t.Cleanup(front.Close)
 	f.url = front.URL
 	return f
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/contain"
 )
 
 // Protocol translates the headers of requests and answers.
@@ -42,6 +44,16 @@
 	Place(q balance.Query) (*fleet.Lease, bool)
 }
 
+// Containment knows the requests that crash the servers that run them.
+type Containment interface {
+	// Held reports whether the request is held back.
+	Held(f contain.Fingerprint) bool
+	// Broke records that a run of the request broke off on a server.
+	Broke(f contain.Fingerprint, server string)
+	// Answered records a whole answer to the request.
+	Answered(f contain.Fingerprint)
+}
+
 // Gateway is the HTTP handler of callers.
 type Gateway struct {
 	View     *fleet.View
@@ -49,6 +61,7 @@
 	Protocol Protocol
 	Jobs     Jobs
 	Placer   Placer
+	Contain  Containment
 	Metrics  *Metrics
 }
 
@@ -58,6 +71,9 @@
 	// notKnownRetry is the time after which a caller may return to an instance that
 	// does not know the configuration yet.
 	notKnownRetry = 300 * time.Millisecond
+	// heldRetry is the time after which the caller of a request that is held back may
+	// return: it is held back for minutes.
+	heldRetry = time.Minute
 )
 
 // ServeHTTP answers one request.
@@ -86,6 +102,11 @@
 		arrived: arrived, tried: map[string]bool{},
 	}
 	c.lastEvent = request.ResumeAfter
+	c.fingerprint = fingerprint(r, body)
+	if g.Contain.Held(c.fingerprint) {
+		g.refuse(w, request.ID, http.StatusServiceUnavailable, heldRetry, "held back: it broke several servers")
+		return
+	}
 	c.run()
 }
 
@@ -125,6 +146,15 @@
 	http.Error(w, cause, status)
 }
 
+// fingerprint names requests that are the same but for their ids.
+func fingerprint(r *http.Request, body []byte) contain.Fingerprint {
+	h := xxhash.New()
+	// Writes to a hash never fail.
+	_, _ = h.WriteString(r.Method + " " + r.Host + r.RequestURI + "\n")
+	_, _ = h.Write(body)
+	return contain.Fingerprint(h.Sum64())
+}
+
 // host returns the request's host without a port.
 func host(r *http.Request) string {
 	if name, _, err := net.SplitHostPort(r.Host); err == nil {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -294,3 +294,21 @@
 		t.Fatalf("the server's failures: %+v", own["s0"])
 	}
 }
+
+// Guards against a request that crashes the servers that run it reaching a fourth one,
+// when its caller sends it again under other ids.
+func TestCrashingRequestReachesThreeServers(t *testing.T) {
+	f := newFleet(t, 6, safe(), func(net.Conn, *http.Request, int) {})
+	last := 0
+	for i := range 4 {
+		answer, _, err := f.send(t, "Id", fmt.Sprint("id-", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		last = answer.StatusCode
+	}
+	// The third crash falls into the second request, whose last run is the fourth.
+	if n := f.count(); n > 4 || last != http.StatusServiceUnavailable {
+		t.Fatalf("%d servers reached, last status %d", n, last)
+	}
+}
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -23,6 +23,8 @@
 	// goes on at another server. Items are sent to free slots only.
 	firstSilence = 1500 * time.Millisecond
 	gapSilence   = 1500 * time.Millisecond
+	// breaksMost bounds the doublings of the pause of an item that breaks its servers.
+	breaksMost = 5
 	// maxAnswer bounds the body of a failure that is read, in bytes.
 	maxAnswer = 64 << 10
 	// saveLimit bounds the saving of output while the instance drains.
@@ -52,8 +54,9 @@
 	text  []byte
 	after int64
 	begun bool
-	// failures counts the server's answers of 500.
-	failures int
+	// failures counts the server's answers of 500, breaks the runs that broke off since
+	// the last event.
+	failures, breaks int
 }
 
 // outcome is the end of one run.
@@ -165,7 +168,9 @@
 		lease.End(balance.Unreachable)
 		r.Metrics.count("broken")
 		r.log(item, it, lease, "broken", err)
-		return outcome{pause: failedPause}
+		// An item that crashes its servers comes to them ever more seldom.
+		it.breaks++
+		return outcome{pause: failedPause << min(it.breaks-1, breaksMost)}
 	}
 	lease.End(balance.Abandoned)
 	r.log(item, it, lease, "stopped", cause)
@@ -223,6 +228,7 @@
 		}
 		last = now
 		count++
+		it.breaks = 0
 		if it.begun {
 			it.text = append(it.text, '\n')
 		}
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/contain"
 )
 
 // kind is the first byte of a datagram; a CBOR array follows. New fields are added
@@ -20,6 +21,7 @@
 	kindAsk
 	kindGrant
 	kindYield
+	kindBreak
 )
 
 // state is what an instance has in flight.
@@ -55,6 +57,8 @@
 	Name  string
 	Loads []load
 	Alive []member
+	// Held are the requests that are held back because they crash servers.
+	Held []contain.Fingerprint
 }
 
 // member is an instance that a hub hears.
@@ -92,6 +96,15 @@
 	Server uint32
 }
 
+// breakage says that a run of a request broke off on a server, or, with Answered, that
+// a request that had broken before was answered.
+type breakage struct {
+	_        struct{} `cbor:",toarray"`
+	Request  contain.Fingerprint
+	Server   uint32
+	Answered bool
+}
+
 // hash shortens the id of a server or the name of an instance in datagrams. Two with
 // one hash share their figures, which costs balance only.
 func hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/contain"
 )
 
 // Instance is an instance's entry in the store.
@@ -45,6 +46,8 @@
 	// announceRetry is the pause after a failed announcement in the store.
 	announceRetry = 500 * time.Millisecond
 	maxDatagram   = 16 << 10
+	// heldMost bounds the requests that a statement of a hub names as held back.
+	heldMost = 64
 )
 
 // Options are what a Group needs.
@@ -81,6 +84,7 @@
 	open map[uint64]chan grant
 	// servers holds the ids of the registered servers by their hashes.
 	servers map[uint32]string
+	ledger  *contain.Ledger
 }
 
 // NewGroup opens the socket of an instance.
@@ -95,7 +99,7 @@
 	}
 	return &Group{
 		opt: opt, conn: conn, peers: map[string]*peer{}, hashes: map[uint32]*peer{},
-		open: map[uint64]chan grant{}, servers: map[uint32]string{},
+		open: map[uint64]chan grant{}, servers: map[uint32]string{}, ledger: contain.NewLedger(),
 	}, nil
 }
 
@@ -131,6 +135,8 @@
 		return handle(raw, from, g.onAsk)
 	case kindGrant:
 		return handle(raw, from, g.onGrant)
+	case kindBreak:
+		return handle(raw, from, func(b *breakage, _ netip.AddrPort) { g.takeBreakage(b) })
 	case kindYield:
 		return handle(raw, from, func(y *yield, _ netip.AddrPort) { g.opt.OnYield(g.serverID(y.Server)) })
 	}
@@ -199,6 +205,9 @@
 			p.listed, p.Incarnation = now, m.Incarnation
 		}
 	}
+	for _, f := range t.Held {
+		g.ledger.Hold(now, f)
+	}
 	hub := g.hub
 	loads := decodeLoads(t.Loads, g.serverIDs(t.Loads))
 	g.mu.Unlock()
@@ -377,6 +386,7 @@
 			t.Alive = append(t.Alive, member{Name: hash(name), Incarnation: p.Incarnation})
 		}
 	}
+	t.Held = first(g.ledger.All(now), heldMost)
 	g.mu.Unlock()
 	g.send(kindTotal, t, to)
 }
@@ -385,7 +395,7 @@
 // in flight; the rest can wait for the next statement.
 func sameCounts(a, b balance.Load) bool { return a.Counts == b.Counts }
 
-func first(names []string, n int) []string { return names[:min(n, len(names))] }
+func first[T any](list []T, n int) []T { return list[:min(n, len(list))] }
 
 // to returns the peer's address.
 func (p *peer) to() (netip.AddrPort, bool) {
