--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -31,6 +31,9 @@
 type View struct {
 	revision atomic.Pointer[serving.Revision]
 	listed   atomic.Bool
+	// known is closed once the view is ready.
+	known chan struct{}
+	once  sync.Once
 
 	mu       sync.Mutex
 	registry *serving.Registry
@@ -43,7 +46,7 @@
 
 // NewView returns the view of an instance.
 func NewView(random *rand.Rand) *View {
-	return &View{registry: serving.NewRegistry(), table: balance.NewTable(random), runs: map[string]time.Duration{}}
+	return &View{known: make(chan struct{}), registry: serving.NewRegistry(), table: balance.NewTable(random), runs: map[string]time.Duration{}}
 }
 
 // Revision returns the configuration in force; nil before any is known.
@@ -52,6 +55,16 @@
 // Ready reports whether the instance knows a configuration and the servers.
 func (v *View) Ready() bool { return v.revision.Load() != nil && v.listed.Load() }
 
+// Known returns a channel that is closed once the view is ready.
+func (v *View) Known() <-chan struct{} { return v.known }
+
+// noteReady closes the channel when the view is ready.
+func (v *View) noteReady() {
+	if v.Ready() {
+		v.once.Do(func() { close(v.known) })
+	}
+}
+
 // ApplyConfig takes the entries of the configuration feed. An older version never
 // replaces a newer one.
 func (v *View) ApplyConfig(entries []port.Entry[serving.Revision], _ bool) {
@@ -64,6 +77,7 @@
 		}
 		v.takeRevision(e.Value)
 	}
+	v.noteReady()
 }
 
 func (v *View) takeRevision(next *serving.Revision) {
@@ -112,6 +126,7 @@
 	if changed || !v.listed.Load() {
 		v.table.SetServers(v.registry.Servers())
 		v.listed.Store(true)
+		v.noteReady()
 	}
 }
 
--- a/node/gateway/fakes_test.go
+++ b/node/gateway/fakes_test.go
@@ -89,8 +89,10 @@
 
 // fakeFleet is a gateway with servers that follow one script.
 type fakeFleet struct {
-	url  string
-	view *fleet.View
+	url     string
+	view    *fleet.View
+	gateway *Gateway
+	entries []port.Entry[serving.Server]
 
 	mu   sync.Mutex
 	runs []*http.Request
@@ -127,7 +129,9 @@
 	f.view.ApplyConfig([]port.Entry[serving.Revision]{{Key: "c", Value: revision}}, true)
 	pool := exchange.NewPool(exchange.Options{})
 	t.Cleanup(pool.Close)
-	front := httptest.NewServer(&Gateway{View: f.view, Pool: pool, Protocol: protocol{}, Jobs: noJobs{}, Placer: localPlacer{f.view}, Contain: &localContainment{ledger: contain.NewLedger()}, Metrics: NewMetrics()})
+	f.entries = entries
+	f.gateway = &Gateway{View: f.view, Pool: pool, Protocol: protocol{}, Jobs: noJobs{}, Placer: localPlacer{f.view}, Contain: &localContainment{ledger: contain.NewLedger()}, Metrics: NewMetrics()}
+	front := httptest.NewServer(f.gateway)
 	t.Cleanup(front.Close)
 	f.url = front.URL
 	return f
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -71,6 +71,10 @@
 	// notKnownRetry is the time after which a caller may return to an instance that
 	// does not know the configuration yet.
 	notKnownRetry = 300 * time.Millisecond
+	// startWait, and a startWaitPart of the caller's patience, bound the wait of a
+	// request for an instance that has just started.
+	startWait     = time.Second
+	startWaitPart = 4
 	// heldRetry is the time after which the caller of a request that is held back may
 	// return: it is held back for minutes.
 	heldRetry = time.Minute
@@ -79,12 +83,12 @@
 // ServeHTTP answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	revision := g.View.Revision()
 	request := g.Protocol.Request(r.Header)
-	if revision == nil || !g.View.Ready() {
+	if !g.awaitKnowledge(r, request.Patience) {
 		g.refuse(w, request.ID, http.StatusServiceUnavailable, notKnownRetry, "configuration or servers not known yet")
 		return
 	}
+	revision := g.View.Revision()
 	route := revision.Match(host(r), r.URL.EscapedPath())
 	if (route == nil || route.Kind == serving.Batch) && g.Jobs.Serve(w, r, route) {
 		return
@@ -110,6 +114,28 @@
 	c.run()
 }
 
+// awaitKnowledge waits until the instance knows a configuration and the servers. An
+// instance that has just started does within a few store calls; a caller that is
+// refused meanwhile may have no further attempt.
+func (g *Gateway) awaitKnowledge(r *http.Request, patience time.Duration) bool {
+	if g.View.Ready() {
+		return true
+	}
+	wait := startWait
+	if patience > 0 {
+		wait = min(wait, patience/startWaitPart)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-g.View.Known():
+		return true
+	case <-r.Context().Done():
+	case <-timer.C:
+	}
+	return false
+}
+
 // readBody reads the request's whole body; false means that the answer is given or
 // that the caller has left.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, id string, limit int64) ([]byte, bool) {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
 func safe() serving.Route {
@@ -312,3 +315,29 @@
 		t.Fatalf("%d servers reached, last status %d", n, last)
 	}
 }
+
+// Guards against callers being refused by instances that will know the configuration
+// a moment later: after the loss of all instances each of them has callers waiting
+// (grown Swanline, trouble-3: 295 refusals within 0.2 s of the starts).
+func TestRequestWaitsForAnInstanceThatHasJustStarted(t *testing.T) {
+	f := newFleet(t, 1, safe(), func(c net.Conn, _ *http.Request, _ int) {
+		fmt.Fprint(c, whole(http.StatusOK, "done", "Signature", "s"))
+	})
+	known := f.view
+	f.gateway.View = fleet.NewView(rand.New(rand.NewPCG(1, 2)))
+	f.gateway.Placer = localPlacer{f.gateway.View}
+	done := make(chan string, 1)
+	go func() {
+		answer, body, err := f.send(t, "Patience", "60000")
+		done <- fmt.Sprint(answer.StatusCode, body, err)
+	}()
+	f.gateway.View.ApplyServers(f.entries, true)
+	f.gateway.View.ApplyConfig([]port.Entry[serving.Revision]{{Key: "c", Value: known.Revision()}}, true)
+	if got := <-done; got != "200done<nil>" {
+		t.Fatal(got)
+	}
+	f.gateway.View = fleet.NewView(rand.New(rand.NewPCG(1, 2)))
+	if answer, _, err := f.send(t, "Patience", "100"); err != nil || answer.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("%v %v", answer, err)
+	}
+}
