--- a/node/exchange/dial.go
+++ b/node/exchange/dial.go
@@ -11,7 +11,7 @@
 
 const (
 	// userTimeout ends a connection whose sent bytes are not acknowledged, and the
-	// probes end an idle one, since a machine without power and a connection that
+	// probes end an idle one, since a host without power and a connection that
 	// something on the way has forgotten send no reset.
 	userTimeout   = 1500 * time.Millisecond
 	probeIdle     = time.Second
--- a/node/fleet/follow.go
+++ b/node/fleet/follow.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
@@ -55,7 +56,7 @@
 			}
 			lost = true
 			f.confirm(false)
-			sleep(ctx, retryLeast+rand.N(retryMost-retryLeast))
+			clock.Sleep(ctx, retryLeast+rand.N(retryMost-retryLeast))
 			continue
 		}
 		if lost {
@@ -67,7 +68,7 @@
 			f.Apply(entries, next < 0)
 		}
 		next = to
-		sleep(ctx, followPause)
+		clock.Sleep(ctx, followPause)
 	}
 }
 
@@ -83,13 +84,3 @@
 		f.Confirmed(ok)
 	}
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -54,7 +54,6 @@
 var (
 	errSilent     = errors.New("gateway: the server is silent")
 	errCallerGone = errors.New("gateway: the caller has left")
-	errTimeUp     = errors.New("gateway: the time limit is reached")
 )
 
 // call is one request of a caller.
--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
@@ -75,7 +76,7 @@
 				klog.InfoS("dependency lost", "dependency", "store", "feed", "job index", "cause", err)
 			}
 			lost = true
-			pause(ctx, retryLeast+rand.N(retryMost-retryLeast))
+			clock.Sleep(ctx, retryLeast+rand.N(retryMost-retryLeast))
 			continue
 		case lost:
 			klog.InfoS("dependency regained", "dependency", "store", "feed", "job index")
@@ -89,7 +90,7 @@
 			x.mu.Unlock()
 		}
 		if n > 0 {
-			pause(ctx, tailPause)
+			clock.Sleep(ctx, tailPause)
 		}
 	}
 }
@@ -205,13 +206,3 @@
 		}
 	}
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 )
 
@@ -249,7 +250,7 @@
 			return
 		}
 		if !first {
-			pause(ctx, retryMost)
+			clock.Sleep(ctx, retryMost)
 		}
 		writeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeLimit)
 		var err error
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 )
 
@@ -362,6 +363,6 @@
 		if left == 0 {
 			return
 		}
-		pause(ctx, scheduleInterval)
+		clock.Sleep(ctx, scheduleInterval)
 	}
 }
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 )
 
 const (
@@ -194,7 +195,7 @@
 			}
 			return err
 		}
-		pause(ctx, retryLeast)
+		clock.Sleep(ctx, retryLeast)
 	}
 }
 
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -21,7 +21,7 @@
 type Instance struct {
 	// Address is the IP:PORT of its datagrams.
 	Address string `json:"address"`
-	// Cores is the processor of its machine.
+	// Cores is the processor of its host.
 	Cores float64 `json:"cores"`
 	// Incarnation changes at each start.
 	Incarnation uint32 `json:"incarnation"`
@@ -53,7 +53,7 @@
 // Options are what a Group needs.
 type Options struct {
 	Name, DataCentre string
-	// Cores is the processor of the machine.
+	// Cores is the processor of the host.
 	Cores       float64
 	Incarnation uint32
 	// Listen is the IP:PORT of datagrams.
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -19,7 +19,7 @@
 // testLimit bounds the wait for something that has to come; it is no measure.
 const testLimit = 20 * time.Second
 
-// Guards against instances that do not agree on the hub, and against a small machine
+// Guards against instances that do not agree on the hub, and against a small host
 // that carries the hub's work while larger ones are there.
 func TestRankHubs(t *testing.T) {
 	cores := map[string]float64{"a": 0.144, "b": 0.8, "c": 0.8, "d": 0.5, "e": 0.2}
--- a/node/peers/rank.go
+++ b/node/peers/rank.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// hubCores is the share of the largest machine's processor that a hub needs.
+	// hubCores is the share of the largest host's processor that a hub needs.
 	hubCores = 0.6
 	// hubs is the number of instances that get every statement: one that is asked
 	// and one that takes over.
@@ -51,7 +51,7 @@
 	rank  uint64
 }
 
-// rankHubs orders instances: machines that are large enough come first, among them
+// rankHubs orders instances: hosts that are large enough come first, among them
 // the order is by hash, so that all instances agree.
 func rankHubs(cores map[string]float64) []string {
 	largest := 0.0
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	// memoryShare of the machine's memory is the soft limit of the Go heap; the rest
+	// memoryShare of the host's memory is the soft limit of the Go heap; the rest
 	// is for stacks, sockets and the program itself.
 	memoryShare = 0.6
 	// cacheShare of the memory may be held by blobs of jobs.
--- a/node/serve/settings.go
+++ b/node/serve/settings.go
@@ -31,10 +31,10 @@
 	FirstPort uint16 `toml:"first_port"`
 }
 
-// Limits are those of the machine.
+// Limits are those of the host.
 type Limits struct {
 	MemoryMB int64 `toml:"memory_mb"`
-	// Cores is the processor of the machine.
+	// Cores is the processor of the host.
 	Cores float64 `toml:"cores"`
 	// Descriptors are the file descriptors of the process.
 	Descriptors int64 `toml:"descriptors"`
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -35,7 +35,7 @@
 // Guards against new work on a server that leaves or that had the request.
 func TestLeavingAndTriedServersGetNothing(t *testing.T) {
 	tb := table(3, 4)
-	tb.backends["s00"].server.Leaving = true
+	tb.servers["s00"].server.Leaving = true
 	for range 50 {
 		if c := pick(t, tb, Query{Tried: map[string]bool{"s01": true}}); c.Server.ID != "s02" {
 			t.Fatalf("picked %s", c.Server.ID)
@@ -124,7 +124,7 @@
 // that shows it.
 func TestGrantsCountOnce(t *testing.T) {
 	tb := table(1, 8)
-	busy := func() int { return tb.backends["s00"].busy() }
+	busy := func() int { return tb.servers["s00"].busy() }
 	tb.Grant(epoch, "peer", Grant{Sequence: 1, Server: "s00"})
 	tb.Grant(epoch, "peer", Grant{Sequence: 2, Server: "s00"})
 	if busy() != 2 {
@@ -138,7 +138,7 @@
 	if busy() != 1 {
 		t.Fatalf("busy %d after a statement that shows both, one of which has ended", busy())
 	}
-	tb.SetServers(map[string]*serving.Server{"s00": tb.backends["s00"].server})
+	tb.SetServers(map[string]*serving.Server{"s00": tb.servers["s00"].server})
 	if busy() != 1 {
 		t.Fatalf("busy %d after the servers were listed again", busy())
 	}
@@ -203,7 +203,7 @@
 	// A peer that starts again counts from zero.
 	tb.Peer(epoch, "peer", map[string]Load{"s01": {Tally: Tally{Answered: 5, Failed: 1}}}, 0)
 	tb.Peer(epoch, "peer", map[string]Load{"s01": {Tally: Tally{Answered: 1}}}, 0)
-	if rate := tb.backends["s01"].failureRate(epoch); rate > failShare {
+	if rate := tb.servers["s01"].failureRate(epoch); rate > failShare {
 		t.Fatalf("failure rate %.2f after the peer's restart", rate)
 	}
 }
@@ -226,7 +226,7 @@
 		tb.Started("s01", Online)
 	}
 	tb.Ended(epoch, "s01", Online, Refused)
-	if rate := tb.backends["s01"].failureRate(epoch); rate != 0 {
+	if rate := tb.servers["s01"].failureRate(epoch); rate != 0 {
 		t.Fatalf("failure rate %.2f of a full server", rate)
 	}
 }
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -68,7 +68,7 @@
 func exp2(x float64) float64 { return math.Exp2(x) }
 
 type candidate struct {
-	*backend
+	*serverState
 	score float64
 }
 
@@ -81,7 +81,7 @@
 			return Choice{}, false
 		}
 		// Every server is thought to be lost: take the one that is due first.
-		b := slices.MinFunc(down, func(a, b *backend) int { return a.downUntil.Compare(b.downUntil) })
+		b := slices.MinFunc(down, func(a, b *serverState) int { return a.downUntil.Compare(b.downUntil) })
 		return b.choice(), true
 	}
 	mean := meanPace(usable)
@@ -104,7 +104,7 @@
 
 // filter returns the servers that may take the request and those that are left out
 // because they do not answer.
-func (t *Table) filter(now time.Time, q Query) (usable, down []*backend) {
+func (t *Table) filter(now time.Time, q Query) (usable, down []*serverState) {
 	for _, b := range t.services[q.Service] {
 		switch {
 		case !b.server.Usable() || q.Tried[b.server.ID]:
@@ -120,11 +120,11 @@
 
 // lost reports whether the server is thought not to answer. One that is due for a
 // trial is not, unless the request can run only once or a trial is under way.
-func (b *backend) lost(now time.Time, q Query) bool {
+func (b *serverState) lost(now time.Time, q Query) bool {
 	return b.dead > 0 && (now.Before(b.downUntil) || now.Before(b.trialUntil) || q.Once)
 }
 
-func (b *backend) choice() Choice {
+func (b *serverState) choice() Choice {
 	c := Choice{Server: b.server, Busy: b.busy(), Background: b.own[Batch] + b.peers[Batch], Slots: b.slots()}
 	c.Preempt = c.Busy >= c.Slots && c.Background > 0
 	c.Ahead = max(0, c.Busy-c.Background+1-c.Slots)
@@ -132,7 +132,7 @@
 }
 
 // score is the expected cost of a server; the least is best.
-func (t *Table) score(now time.Time, b *backend, q Query, mean time.Duration) float64 {
+func (t *Table) score(now time.Time, b *serverState, q Query, mean time.Duration) float64 {
 	slots, busy := float64(b.slots()), float64(b.busy())
 	online := float64(b.own[Online] + b.peers[Online])
 	var s float64
@@ -159,10 +159,10 @@
 }
 
 // draw takes the best of a few candidates that are drawn at random.
-func (t *Table) draw(list []candidate, exact bool) *backend {
+func (t *Table) draw(list []candidate, exact bool) *serverState {
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
 	if exact {
-		return list[0].backend
+		return list[0].serverState
 	}
 	// Servers that would make the request wait are no alternatives to those that
 	// would not.
@@ -177,10 +177,10 @@
 	for range draws {
 		best = min(best, t.random.IntN(n))
 	}
-	return list[best].backend
+	return list[best].serverState
 }
 
-func meanPace(list []*backend) time.Duration {
+func meanPace(list []*serverState) time.Duration {
 	var sum time.Duration
 	n := 0
 	for _, b := range list {
@@ -212,7 +212,7 @@
 // Take returns the choice of a server that another instance has picked, or false
 // when this instance does not know the server or does not use it.
 func (t *Table) Take(now time.Time, server string, q Query) (Choice, bool) {
-	b := t.backends[server]
+	b := t.servers[server]
 	if b == nil || !b.server.Usable() || q.Tried[server] || b.dead > 0 && now.Before(b.downUntil) {
 		return Choice{}, false
 	}
@@ -246,7 +246,7 @@
 // slots.
 func (t *Table) Overfull() []string {
 	var ids []string
-	for id, b := range t.backends {
+	for id, b := range t.servers {
 		if b.busy() > b.slots() && b.own[Batch]+b.peers[Batch] > 0 {
 			ids = append(ids, id)
 		}
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -67,8 +67,8 @@
 	Pace time.Duration
 }
 
-// backend is what the instance knows of one server.
-type backend struct {
+// serverState is what the instance knows of one server.
+type serverState struct {
 	server *serving.Server
 	own    Counts
 	peers  Counts
@@ -106,8 +106,8 @@
 
 // Table is the view of one instance.
 type Table struct {
-	backends map[string]*backend
-	services map[string][]*backend
+	servers  map[string]*serverState
+	services map[string][]*serverState
 	peers    map[string]*statement
 	random   *rand.Rand
 }
@@ -115,7 +115,7 @@
 // NewTable returns an empty table.
 func NewTable(random *rand.Rand) *Table {
 	return &Table{
-		backends: map[string]*backend{}, services: map[string][]*backend{}, peers: map[string]*statement{},
+		servers: map[string]*serverState{}, services: map[string][]*serverState{}, peers: map[string]*statement{},
 		random: random,
 	}
 }
@@ -123,18 +123,18 @@
 // SetServers replaces the registered servers. What is known of a server stays,
 // unless it has started again.
 func (t *Table) SetServers(servers map[string]*serving.Server) {
-	for id, b := range t.backends {
+	for id, b := range t.servers {
 		s := servers[id]
 		if s == nil || s.Started != b.server.Started || s.Address != b.server.Address {
-			delete(t.backends, id)
+			delete(t.servers, id)
 		}
 	}
 	clear(t.services)
 	for id, s := range servers {
-		b := t.backends[id]
+		b := t.servers[id]
 		if b == nil {
-			b = &backend{}
-			t.backends[id] = b
+			b = &serverState{}
+			t.servers[id] = b
 		}
 		b.server, b.peers = s, Counts{}
 		t.services[s.Service] = append(t.services[s.Service], b)
@@ -144,25 +144,25 @@
 	}
 }
 
-func (b *backend) slots() int {
+func (b *serverState) slots() int {
 	if b.server.Slots > 0 {
 		return b.server.Slots
 	}
 	return defaultSlots
 }
 
-func (b *backend) busy() int { return b.own.total() + b.peers.total() }
+func (b *serverState) busy() int { return b.own.total() + b.peers.total() }
 
 // add adds a peer's statement to the sums of the servers, or takes it out with -1.
 func (t *Table) add(s *statement, sign int) {
 	for id, c := range s.loads {
-		if b := t.backends[id]; b != nil {
+		if b := t.servers[id]; b != nil {
 			b.peers[Online] += sign * c.Counts[Online]
 			b.peers[Batch] += sign * c.Counts[Batch]
 		}
 	}
 	for _, g := range s.grants {
-		if b := t.backends[g.Server]; b != nil {
+		if b := t.servers[g.Server]; b != nil {
 			b.peers[g.Class] += sign
 		}
 	}
@@ -189,7 +189,7 @@
 // The tallies of servers that the peer does not name are carried over.
 func (t *Table) learn(now time.Time, old map[string]Load, next *statement) {
 	for id, l := range next.loads {
-		b := t.backends[id]
+		b := t.servers[id]
 		if b == nil {
 			continue
 		}
@@ -222,7 +222,7 @@
 		t.peers[name] = s
 	}
 	s.grants = append(s.grants, g)
-	if b := t.backends[g.Server]; b != nil {
+	if b := t.servers[g.Server]; b != nil {
 		b.peers[g.Class]++
 	}
 }
@@ -247,7 +247,7 @@
 // Total returns what is in flight by server, this instance's own included.
 func (t *Table) Total() map[string]Load {
 	loads := map[string]Load{}
-	for id, b := range t.backends {
+	for id, b := range t.servers {
 		if b.busy() > 0 {
 			loads[id] = Load{Counts: Counts{b.own[Online] + b.peers[Online], b.own[Batch] + b.peers[Batch]}}
 		}
@@ -259,7 +259,7 @@
 // ended where that has changed lately.
 func (t *Table) Own(now time.Time) map[string]Load {
 	loads := map[string]Load{}
-	for id, b := range t.backends {
+	for id, b := range t.servers {
 		if b.own.total() > 0 || now.Sub(b.tallied) < tallyFor {
 			loads[id] = Load{Counts: b.own, Tally: b.tally, Pace: b.pace}
 		}
@@ -269,7 +269,7 @@
 
 // Started records a request that was sent to a server.
 func (t *Table) Started(server string, class Class) {
-	if b := t.backends[server]; b != nil {
+	if b := t.servers[server]; b != nil {
 		b.own[class]++
 	}
 }
@@ -299,7 +299,7 @@
 
 // Ended records the end of a request.
 func (t *Table) Ended(now time.Time, server string, class Class, outcome Outcome) {
-	b := t.backends[server]
+	b := t.servers[server]
 	if b == nil {
 		return
 	}
@@ -326,7 +326,7 @@
 }
 
 // ended records how one of this instance's own requests ended.
-func (b *backend) ended(now time.Time, failed float64) {
+func (b *serverState) ended(now time.Time, failed float64) {
 	b.note(now, failed)
 	b.tallied = now
 	if failed > 0 {
@@ -337,11 +337,11 @@
 }
 
 // alive records that a server answers.
-func (b *backend) alive() { b.dead, b.trialUntil = 0, time.Time{} }
+func (b *serverState) alive() { b.dead, b.trialUntil = 0, time.Time{} }
 
 // Answering records that a server has begun to answer, which shows that it lives.
 func (t *Table) Answering(server string) {
-	if b := t.backends[server]; b != nil {
+	if b := t.servers[server]; b != nil {
 		b.alive()
 	}
 }
@@ -349,12 +349,12 @@
 // Pace records the time of one step of an answer: the gap between two events, or
 // the whole time of a plain answer.
 func (t *Table) Pace(server string, step time.Duration) {
-	if b := t.backends[server]; b != nil {
+	if b := t.servers[server]; b != nil {
 		b.paced(step)
 	}
 }
 
-func (b *backend) paced(step time.Duration) {
+func (b *serverState) paced(step time.Duration) {
 	if b.pace == 0 {
 		b.pace = step
 		return
@@ -362,12 +362,12 @@
 	b.pace += time.Duration(paceShare * float64(step-b.pace))
 }
 
-func (b *backend) note(now time.Time, failed float64) {
+func (b *serverState) note(now time.Time, failed float64) {
 	b.failures = b.failureRate(now)*(1-failShare) + failed*failShare
 	b.failedAt = now
 }
 
-func (b *backend) failureRate(now time.Time) float64 {
+func (b *serverState) failureRate(now time.Time) float64 {
 	if b.failures == 0 {
 		return 0
 	}
