Remove dead accessors; jobs take a request's host from the gateway's function

Read of the whole change: Revision.HasHost and MatchBatch, Response.Reused and the flag behind it had no caller, and node/jobs stripped the port of a host a second time.

--- a/domain/serving/route.go
+++ b/domain/serving/route.go
@@ -119,9 +119,6 @@
 	}
 }
 
-// HasHost reports whether any route belongs to the host.
-func (r *Revision) HasHost(host string) bool { return len(r.byHost[host]) > 0 }
-
 // Match returns the route of the host with the longest prefix that begins path,
 // or nil.
 func (r *Revision) Match(host, path string) *Route {
@@ -133,17 +130,6 @@
 	return nil
 }
 
-// MatchBatch returns a batch route of the host, or nil: calls about a job name
-// its host but no route.
-func (r *Revision) MatchBatch(host string) *Route {
-	for _, route := range r.byHost[host] {
-		if route.Kind == Batch {
-			return route
-		}
-	}
-	return nil
-}
-
 // Slots returns the number of requests that a server of the service runs at once
 // according to the configuration; zero when it does not say.
 func (r *Revision) Slots(service string) int {
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -188,9 +188,6 @@
 	return n, fmt.Errorf("%w: %w", ErrBroken, err)
 }
 
-// Reused reports whether the exchange ran on a kept connection.
-func (r *Response) Reused() bool { return r.conn.used }
-
 // Close ends the exchange. The connection is kept only after a whole answer to a
 // request that was sent in full; otherwise it is closed, which cancels the request
 // at the server.
--- a/node/exchange/pool.go
+++ b/node/exchange/pool.go
@@ -50,7 +50,6 @@
 	// until is the time after which the connection is not used again.
 	until time.Time
 	since time.Time
-	used  bool
 }
 
 // NewPool returns an empty pool.
@@ -126,7 +125,7 @@
 		keep = min(keep, serverIdle-closeMargin)
 	}
 	now := time.Now()
-	c.since, c.until, c.used = now, now.Add(keep), true
+	c.since, c.until = now, now.Add(keep)
 	p.mu.Lock()
 	if !p.closed && keep > 0 && len(p.idle[c.address]) < p.opt.MaxIdlePerServer {
 		p.idle[c.address] = append(p.idle[c.address], c)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -89,7 +89,7 @@
 		return
 	}
 	revision := g.View.Revision()
-	route := revision.Match(host(r), r.URL.EscapedPath())
+	route := revision.Match(Host(r), r.URL.EscapedPath())
 	if (route == nil || route.Kind == serving.Batch) && g.Jobs.Serve(w, r, route) {
 		return
 	}
@@ -181,8 +181,8 @@
 	return contain.Fingerprint(h.Sum64())
 }
 
-// host returns the request's host without a port.
-func host(r *http.Request) string {
+// Host returns the request's host without a port.
+func Host(r *http.Request) string {
 	if name, _, err := net.SplitHostPort(r.Host); err == nil {
 		return name
 	}
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -5,7 +5,6 @@
 	"errors"
 	"hash/fnv"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/node/gateway"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 )
 
@@ -165,12 +165,8 @@
 		return nil, err
 	}
 	s.Index.gauge.took(time.Since(began))
-	host := r.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
 	return &joblog.Accepted{
-		Job: call.Job, Host: host, Path: r.URL.EscapedPath(), Items: len(items), Content: extents[0],
+		Job: call.Job, Host: gateway.Host(r), Path: r.URL.EscapedPath(), Items: len(items), Content: extents[0],
 		Instance: s.Instance, Incarnation: s.Incarnation,
 	}, nil
 }
