node/relay: an instance that loses the store calls it through a peer

Ruled out: keeping accepted jobs in the memory of peers; the loss of all instances is to be borne, so a 202 needs the store. Ruled out: forwarding callers' requests to a peer, which would need a second path for every call about jobs.

Change: port.Store has Newest, feeds are read from any port.Store, and node/relay is a port.Store with several paths; policy/reach decides. Instances state whether their own path works. While no instance reaches the store, callers of submissions are asked to return after 1.3 s instead of 0.3 s, because they return only once.

--- a/cmd/jacinthnotchd/serve.go
+++ b/cmd/jacinthnotchd/serve.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/eventlog"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/peers"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/serve"
 	"github.com/jacinthnotch/jacinthnotch/platform"
 )
@@ -52,14 +53,18 @@
 
 // adapter returns the adapter to the platform whose store is at address.
 func adapter(address string) serve.Platform {
-	store := platform.NewStore(address, exchange.Dial)
 	return serve.Platform{
-		Protocol:      platform.Protocol{},
-		ReadinessPath: platform.ReadinessPath,
-		Store:         store,
-		Config:        platform.NewFeed(store, platform.ConfigTopic, platform.DecodeRevision, nil),
-		Servers:       platform.NewFeed(store, platform.ServersTopic, platform.DecodeServer, nil),
-		Instances:     platform.NewFeed(store, platform.KeyedTopic(instancesTopic), decodeInstance, encodeInstance),
+		Protocol:       platform.Protocol{},
+		ReadinessPath:  platform.ReadinessPath,
+		Store:          platform.NewStore(address, exchange.Dial),
+		InstancesTopic: platform.KeyedTopic(instancesTopic),
+		Feeds: func(s port.Store) serve.Feeds {
+			return serve.Feeds{
+				Config:    platform.NewFeed(s, platform.ConfigTopic, platform.DecodeRevision, nil),
+				Servers:   platform.NewFeed(s, platform.ServersTopic, platform.DecodeServer, nil),
+				Instances: platform.NewFeed(s, platform.KeyedTopic(instancesTopic), decodeInstance, encodeInstance),
+			}
+		},
 	}
 }
 
--- a/node/jobs/fixture_test.go
+++ b/node/jobs/fixture_test.go
@@ -22,6 +22,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/platform"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/reach"
 	"github.com/jacinthnotch/jacinthnotch/standin/store"
 )
 
@@ -206,8 +207,22 @@
 	index  *jobs.Index
 	runner *jobs.Runner
 	kill   func()
+
+	mu sync.Mutex
+	// outlook is what the instance believes of the store.
+	outlook reach.Outlook
+}
+
+// Outlook implements jobs.Path.
+func (i *instance) Outlook() reach.Outlook {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.outlook
 }
 
+// Limit implements jobs.Path.
+func (i *instance) Limit() time.Duration { return reach.NewTable().Patience() }
+
 // start starts an instance; incarnation tells its starts apart.
 func (s *site) start(name string, incarnation uint32) *instance {
 	s.t.Helper()
@@ -227,8 +242,10 @@
 	}
 	i.runner.Start()
 	service := &jobs.Service{
-		Index: i.index, Bulk: bulk, Runner: i.runner, Codec: protocol{}, Revision: view.Revision, Instance: name, Incarnation: incarnation,
-		Refuse: func(w http.ResponseWriter, status int, _ time.Duration, cause string) { http.Error(w, cause, status) },
+		Path: i, Index: i.index, Bulk: bulk, Runner: i.runner, Codec: protocol{}, Revision: view.Revision, Instance: name, Incarnation: incarnation,
+		Refuse: func(w http.ResponseWriter, status int, retryAfter time.Duration, _ string) {
+			http.Error(w, retryAfter.String(), status)
+		},
 	}
 	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { service.Serve(w, r, route) }))
 	i.url = front.URL
--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -49,7 +49,7 @@
 	fresh time.Time
 
 	appends chan *pendingAppend
-	gauge   gauge
+	outage  outage
 }
 
 type pendingAppend struct {
@@ -71,7 +71,7 @@
 		case ctx.Err() != nil:
 			return
 		case err != nil:
-			x.gauge.failed(time.Now())
+			x.outage.noteFailed(time.Now())
 			if !lost {
 				klog.InfoS("dependency lost", "dependency", "store", "feed", "job index", "cause", err)
 			}
@@ -82,7 +82,7 @@
 			klog.InfoS("dependency regained", "dependency", "store", "feed", "job index")
 			lost = false
 		}
-		x.gauge.answered()
+		x.outage.noteAnswered()
 		if now := time.Now(); now.Sub(purged) > purgeInterval {
 			purged = now
 			x.mu.Lock()
@@ -193,12 +193,11 @@
 		for i, p := range group {
 			records[i] = p.raw
 		}
-		began := time.Now()
 		_, err := x.store.Append(ctx, indexPartition, records)
 		if err == nil {
-			x.gauge.took(time.Since(began))
+			x.outage.noteAnswered()
 		} else {
-			x.gauge.failed(time.Now())
+			x.outage.noteFailed(time.Now())
 			klog.InfoS("append to the job index failed", "records", len(group), "noEffect", noEffect(err), "err", err)
 		}
 		for _, p := range group {
--- a/node/jobs/jobs_test.go
+++ b/node/jobs/jobs_test.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/node/jobs"
 	"github.com/jacinthnotch/jacinthnotch/platform"
+	"github.com/jacinthnotch/jacinthnotch/policy/reach"
 	"github.com/jacinthnotch/jacinthnotch/standin/store"
 )
 
@@ -126,6 +128,38 @@
 	}
 }
 
+// Guards against callers that use up their only return while the store is still away
+// for everybody, and against callers that wait for long although another instance would
+// take their job. The pattern is an outage of seconds under steady submissions.
+func TestCallersReturnWhenTheStoreMayBeBack(t *testing.T) {
+	s := newSite(t)
+	a := s.start("a", 1)
+	s.store.SetFault(store.Busy, false)
+	appends := s.store.Calls(platform.PathAppend)
+	refused := func(outlook reach.Outlook) time.Duration {
+		t.Helper()
+		a.mu.Lock()
+		a.outlook = outlook
+		a.mu.Unlock()
+		code, raw := a.call(jobs.Submit, "j", submission("x"))
+		after, err := time.ParseDuration(strings.TrimSpace(string(raw)))
+		if code != http.StatusServiceUnavailable || err != nil {
+			t.Fatalf("outlook %v: %d %s", outlook, code, raw)
+		}
+		return after
+	}
+	// A third of the 4 s that the users' callers wait at least.
+	if after := refused(reach.Away); after < time.Second || after > 4*time.Second/3 {
+		t.Errorf("away for everybody: return after %v", after)
+	}
+	if after := refused(reach.Isolated); after > 500*time.Millisecond {
+		t.Errorf("away for this instance: return after %v", after)
+	}
+	if n := s.store.Calls(platform.PathAppend) - appends; n != 0 {
+		t.Errorf("%d appends were tried although the store was known to be away", n)
+	}
+}
+
 // Guards against results that are lost or doubled when the store loses its answers to
 // appends, or takes them seconds later.
 func TestResultsSurviveLostAndLateAppends(t *testing.T) {
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
+	"github.com/jacinthnotch/jacinthnotch/policy/reach"
 )
 
 const (
@@ -22,8 +23,13 @@
 	storeLimit = 2500 * time.Millisecond
 	// confirmLimit bounds the read that proves that a job does not exist.
 	confirmLimit = time.Second
-	// storeRetry is the time after which a caller may return when the store is away.
+	// storeRetry is the time after which a caller may return when the store did not
+	// take a call of this instance: another instance may reach it.
 	storeRetry = 300 * time.Millisecond
+	// awayRetry is that time while no instance reaches the store. Callers return once
+	// and wait no longer than a third of the time that they have, which is 4 s or more;
+	// outages last for seconds.
+	awayRetry = 1300 * time.Millisecond
 	// maxResults bounds the texts of one answer, in bytes; the platform allows 1 MB
 	// with its framing.
 	maxResults = 900 << 10
@@ -37,6 +43,8 @@
 	Bulk   *Bulk
 	Runner *Runner
 	Codec  Codec
+	// Path tells how this instance reaches the store.
+	Path Path
 	// Revision returns the configuration in force.
 	Revision func() *serving.Revision
 	// Refuse writes a refusal with the time after which the caller may return.
@@ -46,6 +54,14 @@
 	Incarnation uint32
 }
 
+// Path tells how an instance reaches the store.
+type Path interface {
+	// Outlook returns what the instance believes of the store.
+	Outlook() reach.Outlook
+	// Limit returns how long a call takes at most while any path works.
+	Limit() time.Duration
+}
+
 // Serve answers a call about jobs; false means that the request is none.
 func (s *Service) Serve(w http.ResponseWriter, r *http.Request, route *serving.Route) bool {
 	call, ok := s.Codec.Call(r, route != nil)
@@ -71,6 +87,9 @@
 	retryAfter := time.Duration(0)
 	if status == http.StatusServiceUnavailable {
 		retryAfter = storeRetry
+		if s.Path.Outlook() == reach.Away {
+			retryAfter = awayRetry
+		}
 	}
 	s.Refuse(w, status, retryAfter, cause)
 }
@@ -125,8 +144,8 @@
 		s.refuse(w, call, http.StatusBadRequest, "not a submission", err)
 		return
 	}
-	if s.Index.gauge.away(began) {
-		s.refuse(w, call, http.StatusServiceUnavailable, "the store is away", nil)
+	if outlook := s.Path.Outlook(); outlook == reach.Away || outlook == reach.Isolated || s.Index.outage.suspected(began) {
+		s.refuse(w, call, http.StatusServiceUnavailable, "the store is away, outlook "+outlook.String(), nil)
 		return
 	}
 	// The outcome does not depend on whether this caller stays.
@@ -156,15 +175,14 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.Index.gauge.limit())
+	ctx, cancel := context.WithTimeout(ctx, s.Path.Limit())
 	defer cancel()
-	began := time.Now()
 	extents, err := s.Bulk.Write(ctx, partitionOf(call.Job), [][]byte{content})
 	if err != nil {
-		s.Index.gauge.failed(time.Now())
+		s.Index.outage.noteFailed(time.Now())
 		return nil, err
 	}
-	s.Index.gauge.took(time.Since(began))
+	s.Index.outage.noteAnswered()
 	return &joblog.Accepted{
 		Job: call.Job, Host: gateway.Host(r), Path: r.URL.EscapedPath(), Items: len(items), Content: extents[0],
 		Instance: s.Instance, Incarnation: s.Incarnation,
--- a/node/peers/announce.go
+++ b/node/peers/announce.go
@@ -30,7 +30,7 @@
 		if !p.present(now) || p.Address == "" {
 			p.Address, p.Incarnation = e.Value.Address, e.Value.Incarnation
 		}
-		p.Cores = e.Value.Cores
+		p.Cores, p.DataCentre = e.Value.Cores, e.Value.DataCentre
 	}
 }
 
@@ -57,7 +57,7 @@
 }
 
 func (g *Group) announce(ctx context.Context) error {
-	self := &Instance{Address: g.opt.Listen, Cores: g.opt.Cores, Incarnation: g.opt.Incarnation}
+	self := &Instance{Address: g.opt.Listen, DataCentre: g.opt.DataCentre, Cores: g.opt.Cores, Incarnation: g.opt.Incarnation}
 	return g.opt.Feed.Put(ctx, g.opt.Name, self)
 }
 
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -35,6 +35,8 @@
 	// Seen is the sequence number up to which the loads show what was granted.
 	Seen  uint64
 	Loads []load
+	// Reaches is set while the instance reaches the store on its own path.
+	Reaches bool
 }
 
 // load is what is in flight on one server.
@@ -66,6 +68,8 @@
 	_           struct{} `cbor:",toarray"`
 	Name        uint32
 	Incarnation uint32
+	// Reaches is what the instance stated of its path to the store.
+	Reaches bool
 }
 
 // ask asks a hub for a server.
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -15,12 +15,14 @@
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/contain"
+	"github.com/jacinthnotch/jacinthnotch/policy/reach"
 )
 
 // Instance is an instance's entry in the store.
 type Instance struct {
-	// Address is the IP:PORT of its datagrams.
-	Address string `json:"address"`
+	// Address is the IP:PORT of its datagrams and, over TCP, of its calls.
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
 	// Cores is the processor of its host.
 	Cores float64 `json:"cores"`
 	// Incarnation changes at each start.
@@ -60,6 +62,9 @@
 	Listen string
 	View   *fleet.View
 	Feed   port.Feed[Instance]
+	// Reaches reports whether this instance reaches the store on its own path; nil
+	// means that it does.
+	Reaches func() bool
 	// OnYield gives up the slot of one batch request of this instance on a server; it
 	// reports whether there was one.
 	OnYield func(server string) bool
@@ -71,14 +76,16 @@
 	opt  Options
 	conn *net.UDPConn
 
-	mu       sync.Mutex
-	peers    map[string]*peer
-	hashes   map[uint32]*peer
-	last     map[string]balance.Load
-	changed  time.Time
-	shed     time.Time
-	hub      bool
-	leaving  bool
+	mu      sync.Mutex
+	peers   map[string]*peer
+	hashes  map[uint32]*peer
+	last    map[string]balance.Load
+	changed time.Time
+	shed    time.Time
+	hub     bool
+	leaving bool
+	// reaches is what was stated last of this instance's path to the store.
+	reaches  bool
 	sequence uint64
 	// open holds the questions that are not answered yet.
 	open map[uint64]chan grant
@@ -178,7 +185,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	p := g.hear(s.Name, from)
-	p.Incarnation, p.leaving = s.Incarnation, s.Leaving
+	p.Incarnation, p.leaving, p.reaches = s.Incarnation, s.Leaving, s.Reaches
 	first := now.Sub(p.stated) > heardFor
 	p.stated = now
 	became := !g.hub
@@ -202,7 +209,7 @@
 	g.hear(t.Name, from)
 	for _, m := range t.Alive {
 		if p := g.hashes[m.Name]; p != nil {
-			p.listed, p.Incarnation = now, m.Incarnation
+			p.listed, p.Incarnation, p.reaches = now, m.Incarnation, m.Reaches
 		}
 	}
 	for _, f := range t.Held {
@@ -261,11 +268,12 @@
 
 func (g *Group) tick() {
 	now := time.Now()
+	reaches := g.opt.Reaches == nil || g.opt.Reaches()
 	g.mu.Lock()
 	seen := g.seen()
 	own := g.opt.View.Own()
-	if !maps.EqualFunc(own, g.last, sameCounts) {
-		g.last, g.changed = own, now
+	if !maps.EqualFunc(own, g.last, sameCounts) || reaches != g.reaches {
+		g.last, g.reaches, g.changed = own, reaches, now
 	}
 	g.notice(now)
 	states, totals := g.statesDue(now), g.totalsDue(now)
@@ -277,7 +285,7 @@
 	g.mu.Unlock()
 	if len(states) > 0 {
 		g.send(kindState, &state{
-			Name: g.opt.Name, Incarnation: g.opt.Incarnation, Leaving: leaving, Seen: seen, Loads: encodeLoads(own),
+			Name: g.opt.Name, Incarnation: g.opt.Incarnation, Leaving: leaving, Seen: seen, Loads: encodeLoads(own), Reaches: reaches,
 		}, states)
 	}
 	if len(totals) > 0 {
@@ -379,11 +387,11 @@
 	t := &total{Name: g.opt.Name, Loads: encodeLoads(g.opt.View.Total())}
 	g.mu.Lock()
 	if !g.leaving {
-		t.Alive = append(t.Alive, member{Name: hash(g.opt.Name), Incarnation: g.opt.Incarnation})
+		t.Alive = append(t.Alive, member{Name: hash(g.opt.Name), Incarnation: g.opt.Incarnation, Reaches: g.reaches})
 	}
 	for name, p := range g.peers {
 		if now.Sub(p.heard) < heardFor && !p.leaving {
-			t.Alive = append(t.Alive, member{Name: hash(name), Incarnation: p.Incarnation})
+			t.Alive = append(t.Alive, member{Name: hash(name), Incarnation: p.Incarnation, Reaches: p.reaches})
 		}
 	}
 	t.Held = first(g.ledger.All(now), heldMost)
@@ -457,3 +465,18 @@
 	}
 	return alive
 }
+
+// Reaching returns the other instances that are thought to be alive, with what they
+// state of their path to the store.
+func (g *Group) Reaching() []reach.Peer {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []reach.Peer
+	for name, p := range g.peers {
+		if p.present(now) && !p.leaving && p.Address != "" {
+			list = append(list, reach.Peer{Name: name, Address: p.Address, Near: p.DataCentre == g.opt.DataCentre, Reaches: p.reaches})
+		}
+	}
+	return list
+}
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,6 +103,12 @@
 }
 
 func startNode(t *testing.T, f *feed, name string, servers, slots int) *node {
+	t.Helper()
+	return startNodeThat(t, f, name, servers, slots, nil)
+}
+
+// startNodeThat starts an instance with a path to the store that reaches tells.
+func startNodeThat(t *testing.T, f *feed, name string, servers, slots int, reaches func() bool) *node {
 	t.Helper()
 	n := &node{name: name, view: fleet.NewView(rand.New(rand.NewPCG(1, 2)))}
 	var entries []port.Entry[serving.Server]
@@ -110,7 +117,7 @@
 		entries = append(entries, port.Entry[serving.Server]{Key: id, Value: &serving.Server{ID: id, Service: "svc", Address: id, Slots: slots}})
 	}
 	n.view.ApplyServers(entries, true)
-	group, err := NewGroup(Options{Name: name, Cores: 1, Incarnation: 1, Listen: "127.0.0.1:0", View: n.view, Feed: f, OnYield: n.yield})
+	group, err := NewGroup(Options{Name: name, Cores: 1, Incarnation: 1, Listen: "127.0.0.1:0", View: n.view, Feed: f, Reaches: reaches, OnYield: n.yield})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -238,6 +245,41 @@
 	}
 }
 
+// Guards against calls to the store through an instance that lost it, and against an
+// instance that nobody knows to reach it.
+func TestPathsToTheStoreAreStated(t *testing.T) {
+	f := &feed{entries: map[string]Instance{}}
+	var lost atomic.Bool
+	var nodes []*node
+	for i := range 3 {
+		reaches := func() bool { return true }
+		if i == 2 {
+			reaches = func() bool { return !lost.Load() }
+		}
+		nodes = append(nodes, startNodeThat(t, f, fmt.Sprint("n", i), 1, 8, reaches))
+	}
+	reaching := func(n *node) int {
+		count := 0
+		for _, p := range n.group.Reaching() {
+			if p.Reaches && p.Address != "" {
+				count++
+			}
+		}
+		return count
+	}
+	for _, n := range nodes {
+		waitFor(t, n.name+" does not know that the others reach the store", func() bool { return reaching(n) == 2 })
+	}
+	lost.Store(true)
+	for _, n := range nodes[:2] {
+		waitFor(t, n.name+" does not learn that n2 lost the store", func() bool { return reaching(n) == 1 })
+	}
+	lost.Store(false)
+	for _, n := range nodes[:2] {
+		waitFor(t, n.name+" does not learn that n2 is back", func() bool { return reaching(n) == 2 })
+	}
+}
+
 func FuzzReceive(f *testing.F) {
 	for k, body := range map[kind]any{
 		kindState: &state{Name: "n", Loads: []load{{Server: 1, Online: 2}}}, kindTotal: &total{Name: "n", Alive: []member{{Name: 1}}},
--- a/node/peers/rank.go
+++ b/node/peers/rank.go
@@ -31,6 +31,8 @@
 	known, heard, listed, stated time.Time
 	leaving                      bool
 	alive                        bool
+	// reaches is set while it states that it reaches the store.
+	reaches bool
 	// sentState and sentTotal are when this instance stated to it.
 	sentState, sentTotal time.Time
 	// unanswered counts the questions in a row that it did not answer; until
--- a/node/port/store.go
+++ b/node/port/store.go
@@ -24,6 +24,27 @@
 	// one record where there is one. Without any it waits up to wait for the next.
 	// A read below the retained range returns an *ExpiredError.
 	Read(ctx context.Context, p Partition, from int64, maxBytes int, wait time.Duration) (Page, error)
+
+	// Newest returns a page of the newest record of each key of a topic that keeps
+	// them, in an order of the keys; after is the last key of the page before, or "".
+	Newest(ctx context.Context, topic string, after string) (NewestPage, error)
+}
+
+// NewestPage is a page of the newest records of each key. Pages are no snapshot.
+type NewestPage struct {
+	Records []KeyedRecord
+	// More is set when further keys follow.
+	More bool
+	// End is the offset that the next append will get.
+	End int64
+}
+
+// KeyedRecord is the newest record of a key. Unreadable is set when the store's form
+// of the value cannot be decoded.
+type KeyedRecord struct {
+	Key        string
+	Value      []byte
+	Unreadable bool
 }
 
 // Entry is the newest record of one key.
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -12,20 +12,23 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
+	"storj.io/drpc/drpcmux"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
 	"github.com/jacinthnotch/jacinthnotch/node/jobs"
+	"github.com/jacinthnotch/jacinthnotch/node/peer"
 	"github.com/jacinthnotch/jacinthnotch/node/peers"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/node/relay"
+	"github.com/jacinthnotch/jacinthnotch/policy/reach"
 )
 
 const (
@@ -65,17 +68,29 @@
 	Protocol Protocol
 	// ReadinessPath is the path at which the balancer asks.
 	ReadinessPath string
-	Store         port.Store
-	Config        port.Feed[serving.Revision]
-	Servers       port.Feed[serving.Server]
-	Instances     port.Feed[peers.Instance]
+	// Store makes calls on the instance's own path.
+	Store port.Store
+	// InstancesTopic is the topic in which the instances announce themselves. Feeds
+	// returns the feeds that are read from a store.
+	InstancesTopic string
+	Feeds          func(port.Store) Feeds
+}
+
+// Feeds are the topics that an instance follows.
+type Feeds struct {
+	Config    port.Feed[serving.Revision]
+	Servers   port.Feed[serving.Server]
+	Instances port.Feed[peers.Instance]
 }
 
 // Instance is one running instance.
 type Instance struct {
 	settings    *Settings
 	platform    Platform
+	feeds       Feeds
 	incarnation uint32
+	store       *relay.Store
+	conns       *peer.Pool
 	view        *fleet.View
 	pool        *exchange.Pool
 	group       *peers.Group
@@ -94,16 +109,18 @@
 	i := &Instance{
 		settings: s, platform: p, incarnation: rand.Uint32(),
 		view: fleet.NewView(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		pool: exchange.NewPool(exchange.Options{}), index: jobs.NewIndex(p.Store), jobMetrics: &jobs.Metrics{},
+		pool: exchange.NewPool(exchange.Options{}), conns: peer.NewPool(nil), jobMetrics: &jobs.Metrics{},
 	}
-	bulk := jobs.NewBulk(p.Store, jobs.Limits{
+	i.store = relay.NewStore(p.Store, lateGroup{i}, i.conns, p.InstancesTopic)
+	i.feeds, i.index = p.Feeds(i.store), jobs.NewIndex(i.store)
+	bulk := jobs.NewBulk(i.store, jobs.Limits{
 		RecordBytes: s.Store.RecordBytes, CallBytes: s.Store.CallBytes, Partitions: s.Store.Partitions,
 		CacheBytes: int(cacheShare * float64(s.Limits.MemoryMB<<20)),
 	})
 	group, err := peers.NewGroup(peers.Options{
 		Name: s.Instance, DataCentre: s.DataCentre, Cores: s.Limits.Cores, Incarnation: i.incarnation,
-		Listen: net.JoinHostPort(s.Listen.IP, strconv.Itoa(int(s.Listen.FirstPort))),
-		View:   i.view, Feed: p.Instances, OnYield: func(server string) bool { return i.runner.Yield(server) },
+		Listen: s.Listen.Between(),
+		View:   i.view, Feed: i.feeds.Instances, Reaches: i.store.Reaches, OnYield: func(server string) bool { return i.runner.Yield(server) },
 	})
 	if err != nil {
 		return nil, fmt.Errorf("serve: socket for datagrams: %w", err)
@@ -116,7 +133,7 @@
 	i.runner.Start()
 	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Contain: group, Metrics: gateway.NewMetrics()}
 	i.gateway.Jobs = &jobs.Service{
-		Index: i.index, Bulk: bulk, Runner: i.runner, Codec: p.Protocol, Revision: i.view.Revision,
+		Index: i.index, Bulk: bulk, Runner: i.runner, Codec: p.Protocol, Revision: i.view.Revision, Path: i.store,
 		Refuse: i.refuse, Instance: s.Instance, Incarnation: i.incarnation,
 	}
 	i.callers = &http.Server{
@@ -126,6 +143,12 @@
 	return i, nil
 }
 
+// lateGroup is the instance's group, which is made after the store that asks it.
+type lateGroup struct{ *Instance }
+
+// Reaching implements relay.Peers.
+func (l lateGroup) Reaching() []reach.Peer { return l.group.Reaching() }
+
 func (i *Instance) refuse(w http.ResponseWriter, status int, retryAfter time.Duration, cause string) {
 	i.platform.Protocol.Refusal(w.Header(), retryAfter)
 	http.Error(w, cause, status)
@@ -167,12 +190,20 @@
 	if err != nil {
 		return fmt.Errorf("serve: readiness address: %w", err)
 	}
+	between, err := config.Listen(ctx, "tcp4", i.settings.Listen.Between())
+	if err != nil {
+		return fmt.Errorf("serve: address for other instances: %w", err)
+	}
+	mux := drpcmux.New()
+	if err := i.store.Register(mux); err != nil {
+		return fmt.Errorf("serve: calls of other instances: %w", err)
+	}
 	// The duties outlive ctx: a drain needs them.
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var running conc.WaitGroup
 	// A duty that panics ends the process, which is then started again; without it
 	// the instance would go on half dead.
-	failed := make(chan error, len(i.duties())+2)
+	failed := make(chan error, len(i.duties())+3)
 	for _, duty := range i.duties() {
 		running.Go(func() {
 			defer func() {
@@ -185,6 +216,11 @@
 	}
 	running.Go(func() { failed <- i.callers.Serve(callers) })
 	running.Go(func() { failed <- i.readiness.Serve(readiness) })
+	running.Go(func() {
+		if err := peer.NewServer(between, mux, nil).Serve(duties); err != nil && duties.Err() == nil {
+			failed <- fmt.Errorf("serve: calls of other instances: %w", err)
+		}
+	})
 	select {
 	case <-ctx.Done():
 		i.drain()
@@ -195,6 +231,9 @@
 	_ = i.callers.Close()   // all requests have ended, or the grace has
 	_ = i.readiness.Close() // nothing depends on an answer any more
 	i.pool.Close()
+	if err := i.conns.Close(); err != nil {
+		klog.InfoS("connections to other instances not closed", "err", err)
+	}
 	running.Wait()
 	klog.InfoS("stop", "instance", i.settings.Instance, "err", err)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -205,10 +244,10 @@
 
 // duties returns the instance's loops, one goroutine each.
 func (i *Instance) duties() []func(context.Context) {
-	config := &fleet.Follower[serving.Revision]{Name: "configuration", Feed: i.platform.Config, Apply: i.view.ApplyConfig, Confirmed: i.view.ConfigConfirmed}
-	servers := &fleet.Follower[serving.Server]{Name: "servers", Feed: i.platform.Servers, Apply: i.view.ApplyServers, Confirmed: i.view.ServersConfirmed}
+	config := &fleet.Follower[serving.Revision]{Name: "configuration", Feed: i.feeds.Config, Apply: i.view.ApplyConfig, Confirmed: i.view.ConfigConfirmed}
+	servers := &fleet.Follower[serving.Server]{Name: "servers", Feed: i.feeds.Servers, Apply: i.view.ApplyServers, Confirmed: i.view.ServersConfirmed}
 	return []func(context.Context){
-		config.Run, servers.Run, i.group.Run, i.group.State, i.index.Follow, i.index.Commit, i.runner.Run, i.sweep,
+		config.Run, servers.Run, i.group.Run, i.group.State, i.index.Follow, i.index.Commit, i.runner.Run, i.sweep, i.store.Watch,
 		func(ctx context.Context) { i.group.Announce(ctx, announceInterval) },
 	}
 }
--- a/node/serve/settings.go
+++ b/node/serve/settings.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -31,6 +33,10 @@
 	FirstPort uint16 `toml:"first_port"`
 }
 
+// Between returns the IP:PORT for the protocols between instances: datagrams, and calls
+// over TCP.
+func (l Listen) Between() string { return net.JoinHostPort(l.IP, strconv.Itoa(int(l.FirstPort))) }
+
 // Limits are those of the host.
 type Limits struct {
 	MemoryMB int64 `toml:"memory_mb"`
--- /dev/null
+++ b/policy/reach/reach.go
@@ -0,0 +1,124 @@
+// Package reach decides by which path an instance calls the platform's store: its own,
+// or that of another instance while its own fails.
+//
+// It does no I/O and reads no clock: times are arguments. A Table is not safe for
+// concurrent use.
+package reach
+
+import (
+	"time"
+)
+
+const (
+	// tookShare is the weight of one measured call.
+	tookShare = 0.2
+	// patienceTimes the usual time of a call, and at least patienceLeast, is how long
+	// a path is waited for before another one is tried. The store answers in 4 ms, and
+	// in 0.24 s on the slowest days that the pages describe; a submission has to be
+	// accepted within 0.4 s.
+	patienceTimes = 6
+	patienceLeast = 80 * time.Millisecond
+	// patienceMost is reached by a store that answers slowly for all instances.
+	patienceMost = time.Second
+	// avoidFor is the time for which a peer that could not help is not asked again.
+	avoidFor = time.Second
+)
+
+// Peer is another instance that states whether its own path works.
+type Peer struct {
+	Name string
+	// Address is the IP:PORT of its calls.
+	Address string
+	// Near is set for a peer in the same data centre: bytes between them have a price.
+	Near bool
+	// Reaches is set while the peer's own path works.
+	Reaches bool
+}
+
+// Outlook is what an instance believes of the store.
+type Outlook uint8
+
+// The outlooks.
+const (
+	// Direct: the instance's own path works.
+	Direct Outlook = iota
+	// ThroughPeers: its own path fails, and that of a peer works.
+	ThroughPeers
+	// Isolated: its own path fails, and it hears no peer. Others may reach the store.
+	Isolated
+	// Away: no instance that is heard reaches the store.
+	Away
+)
+
+// String returns the outlook's name in logs.
+func (o Outlook) String() string {
+	return [...]string{"direct", "through peers", "isolated", "away"}[o]
+}
+
+// Table is what one instance knows of the paths.
+type Table struct {
+	failed bool
+	usual  time.Duration
+	avoid  map[string]time.Time
+}
+
+// NewTable returns a table in which the own path works.
+func NewTable() *Table { return &Table{avoid: map[string]time.Time{}} }
+
+// Own reports whether the instance's own path works, as far as it knows.
+func (t *Table) Own() bool { return !t.failed }
+
+// Answered records a call that the store answered on the own path within d. It reports
+// whether the path had failed before.
+func (t *Table) Answered(d time.Duration) (regained bool) {
+	if t.usual == 0 {
+		t.usual = d
+	}
+	t.usual += time.Duration(tookShare * float64(d-t.usual))
+	regained, t.failed = t.failed, false
+	return regained
+}
+
+// Failed records a call without an answer on the own path. It reports whether the path
+// had worked before.
+func (t *Table) Failed() (lost bool) {
+	lost, t.failed = !t.failed, true
+	return lost
+}
+
+// Patience returns how long a call on one path is waited for.
+func (t *Table) Patience() time.Duration {
+	return min(patienceMost, max(patienceLeast, patienceTimes*t.usual))
+}
+
+// PeerFailed records that a peer could not help.
+func (t *Table) PeerFailed(now time.Time, name string) { t.avoid[name] = now.Add(avoidFor) }
+
+// Choose returns the peers to ask, in this order: near ones first. The order of the
+// list is kept otherwise; a caller that shuffles it spreads the load.
+func (t *Table) Choose(now time.Time, peers []Peer) []Peer {
+	var near, far []Peer
+	for _, p := range peers {
+		switch {
+		case !p.Reaches || now.Before(t.avoid[p.Name]):
+		case p.Near:
+			near = append(near, p)
+		default:
+			far = append(far, p)
+		}
+	}
+	return append(near, far...)
+}
+
+// Outlook returns what the instance believes of the store.
+func (t *Table) Outlook(now time.Time, peers []Peer) Outlook {
+	switch {
+	case t.Own():
+		return Direct
+	case len(t.Choose(now, peers)) > 0:
+		return ThroughPeers
+	case len(peers) == 0:
+		return Isolated
+	}
+	return Away
+}
