node/jobs, node/relay: an outage of a part of the store's partitions

Ruled out: a longer Retry-After of submissions.

Change: bulk is written to another partition while the preferred one fails. A failed call makes the instance look at its path; only a failed look counts as a loss. A peer that passes on the store's refusal is not taken for useless.

--- a/node/jobs/bulk.go
+++ b/node/jobs/bulk.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
@@ -19,8 +21,15 @@
 	BulkTopic = "bulk"
 )
 
-// recordOverhead is kept from the largest record for framing, in bytes.
-const recordOverhead = 1 << 10
+const (
+	// recordOverhead is kept from the largest record for framing, in bytes.
+	recordOverhead = 1 << 10
+	// partitionTries bounds the partitions that one append tries. Outages of a part of
+	// the store take a third of its partitions.
+	partitionTries = 3
+	// partitionPause is the time for which a partition that failed is tried last.
+	partitionPause = time.Second
+)
 
 // Limits of the store.
 type Limits struct {
@@ -37,58 +46,112 @@
 	store  port.Store
 	limits Limits
 	cache  blobCache
+
+	mu sync.Mutex
+	// failed holds, by partition, until when it is tried last.
+	failed map[int]time.Time
 }
 
 // NewBulk returns the blobs of a store.
 func NewBulk(store port.Store, limits Limits) *Bulk {
-	return &Bulk{store: store, limits: limits, cache: blobCache{limit: limits.CacheBytes, blobs: map[string]*blob{}}}
+	return &Bulk{store: store, limits: limits, failed: map[int]time.Time{}, cache: blobCache{limit: limits.CacheBytes, blobs: map[string]*blob{}}}
 }
 
-// Write appends blobs to a partition and returns the extents of each. Either all of
-// them are written or an error is returned; blobs of a failed write are garbage that
-// expires.
-func (b *Bulk) Write(ctx context.Context, partition int, blobs [][]byte) ([][]joblog.Extent, error) {
-	partition %= max(1, b.limits.Partitions)
-	extents := make([][]joblog.Extent, len(blobs))
-	var records [][]byte
-	var owners []int
-	size := 0
-	flush := func() error {
-		if len(records) == 0 {
-			return nil
-		}
-		first, err := b.store.Append(ctx, port.Partition{Topic: BulkTopic, Number: partition}, records)
-		if err != nil {
-			return err
-		}
-		for i, r := range records {
-			extents[owners[i]] = addRecord(extents[owners[i]], partition, first+int64(i), len(r))
-		}
-		records, owners, size = records[:0], owners[:0], 0
-		return nil
-	}
+// Write appends blobs to the preferred partition or, while that one fails, to others,
+// and returns the extents of each. Either all of them are written or an error is
+// returned; blobs of a failed write are garbage that expires.
+func (b *Bulk) Write(ctx context.Context, preferred int, blobs [][]byte) ([][]joblog.Extent, error) {
+	w := bulkWrite{bulk: b, order: b.order(time.Now(), preferred), extents: make([][]joblog.Extent, len(blobs))}
 	for i, data := range blobs {
 		for _, r := range split(data, b.limits.RecordBytes-recordOverhead) {
-			if size+len(r)+recordOverhead > b.limits.CallBytes {
-				if err := flush(); err != nil {
+			if w.size+len(r)+recordOverhead > b.limits.CallBytes {
+				if err := w.flush(ctx); err != nil {
 					return nil, err
 				}
 			}
-			records, owners, size = append(records, r), append(owners, i), size+len(r)+recordOverhead
+			w.records, w.owners, w.size = append(w.records, r), append(w.owners, i), w.size+len(r)+recordOverhead
 		}
 	}
-	if err := flush(); err != nil {
+	if err := w.flush(ctx); err != nil {
 		return nil, err
 	}
-	for i, e := range extents {
+	for i, e := range w.extents {
 		b.cache.put(key(e), blobs[i])
 	}
-	return extents, nil
+	return w.extents, nil
+}
+
+// order returns the partitions to try: the preferred one first, those that have failed
+// lately last.
+func (b *Bulk) order(now time.Time, preferred int) []int {
+	n := max(1, b.limits.Partitions)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var good, bad []int
+	for i := range n {
+		p := (preferred + i) % n
+		if now.Before(b.failed[p]) {
+			bad = append(bad, p)
+		} else {
+			good = append(good, p)
+		}
+	}
+	return append(good, bad...)
+}
+
+// note records whether a partition took an append.
+func (b *Bulk) note(partition int, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ok {
+		delete(b.failed, partition)
+	} else {
+		b.failed[partition] = time.Now().Add(partitionPause)
+	}
+}
+
+// bulkWrite is one write of blobs.
+type bulkWrite struct {
+	bulk *Bulk
+	// order are the partitions that are left to try.
+	order   []int
+	records [][]byte
+	// owners holds the index of each record's blob.
+	owners  []int
+	size    int
+	extents [][]joblog.Extent
+}
+
+// flush appends the collected records in one call. The store may refuse some of its
+// partitions while it serves the others.
+func (w *bulkWrite) flush(ctx context.Context) error {
+	if len(w.records) == 0 {
+		return nil
+	}
+	for tries := 1; ; tries++ {
+		partition := w.order[0]
+		first, err := w.bulk.store.Append(ctx, port.Partition{Topic: BulkTopic, Number: partition}, w.records)
+		if ctx.Err() == nil || err == nil {
+			w.bulk.note(partition, err == nil)
+		}
+		if err == nil {
+			for i, r := range w.records {
+				w.extents[w.owners[i]] = addRecord(w.extents[w.owners[i]], partition, first+int64(i), len(r))
+			}
+			w.records, w.owners, w.size = w.records[:0], w.owners[:0], 0
+			return nil
+		}
+		if ctx.Err() != nil || tries == partitionTries || len(w.order) == 1 {
+			return err
+		}
+		klog.InfoS("partition left out", "topic", BulkTopic, "partition", partition, "for", partitionPause, "err", err)
+		w.order = w.order[1:]
+	}
 }
 
 // addRecord extends the last extent by a record that follows it, or adds one.
 func addRecord(list []joblog.Extent, partition int, offset int64, size int) []joblog.Extent {
-	if n := len(list); n > 0 && list[n-1].Offset+int64(list[n-1].Records) == offset {
+	if n := len(list); n > 0 && list[n-1].Partition == partition && list[n-1].Offset+int64(list[n-1].Records) == offset {
 		list[n-1].Records++
 		list[n-1].Bytes += size
 		return list
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -23,13 +23,9 @@
 	storeLimit = 2500 * time.Millisecond
 	// confirmLimit bounds the read that proves that a job does not exist.
 	confirmLimit = time.Second
-	// storeRetry is the time after which a caller may return when the store did not
-	// take a call of this instance: another instance may reach it.
+	// storeRetry is the time after which a caller may return when the store is away.
+	// Callers of submissions return until their patience of some seconds is over.
 	storeRetry = 300 * time.Millisecond
-	// awayRetry is that time while no instance reaches the store. Callers return once
-	// and wait no longer than a third of the time that they have, which is 4 s or more;
-	// outages last for seconds.
-	awayRetry = 1300 * time.Millisecond
 	// maxResults bounds the texts of one answer, in bytes; the platform allows 1 MB
 	// with its framing.
 	maxResults = 900 << 10
@@ -87,9 +83,6 @@
 	retryAfter := time.Duration(0)
 	if status == http.StatusServiceUnavailable {
 		retryAfter = storeRetry
-		if s.Path.Outlook() == reach.Away {
-			retryAfter = awayRetry
-		}
 	}
 	s.Refuse(w, status, retryAfter, cause)
 }
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -22,6 +22,7 @@
 	store *Store
 }
 
+// errNoPath is the answer of an instance whose own path fails.
 var errNoPath = fmt.Errorf("%w: the peer does not reach the store itself", port.ErrUnavailable)
 
 // Append implements peerpb.DRPCStoreServer.
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -23,10 +23,9 @@
 	// peerMargin is added to the patience for a call through a peer: connecting to it
 	// and its own work.
 	peerMargin = 60 * time.Millisecond
-	// probeInterval is the time between tries of the own path while it fails, and
-	// probeLimit bounds one. The store counts as back within its stable window of 3 s.
+	// probeInterval is the time between tries of the own path while it fails. The store
+	// counts as back within its stable window of 3 s.
 	probeInterval = 400 * time.Millisecond
-	probeLimit    = time.Second
 )
 
 // Peers tells which other instances reach the store.
@@ -46,7 +45,8 @@
 
 	mu    sync.Mutex
 	table *reach.Table
-	lost  chan struct{}
+	// doubted asks for a look at the own path.
+	doubted chan struct{}
 }
 
 var _ port.Store = (*Store)(nil)
@@ -54,7 +54,7 @@
 // NewStore returns a store whose own path is own. Topic keeps the newest record of
 // each key; it is read to try the own path.
 func NewStore(own port.Store, peers Peers, conns peer.Conns, topic string) *Store {
-	return &Store{own: own, peers: peers, conns: conns, probeTopic: topic, table: reach.NewTable(), lost: make(chan struct{}, 1)}
+	return &Store{own: own, peers: peers, conns: conns, probeTopic: topic, table: reach.NewTable(), doubted: make(chan struct{}, 1)}
 }
 
 // Reaches reports whether the instance's own path works.
@@ -161,7 +161,7 @@
 		}
 		return value, worse(r.err, err)
 	case <-slow.C:
-		s.noteFailed(errors.New("no answer in several times the usual time"))
+		s.doubt()
 	}
 	if value, err, asked := detour(ctx, s, wait, through); asked && answered(err) {
 		return value, err
@@ -198,7 +198,7 @@
 		}
 		s.noteAnswered(took)
 	case ctx.Err() == nil:
-		s.noteFailed(err)
+		s.doubt()
 	}
 	return value, err
 }
@@ -216,12 +216,16 @@
 	s.mu.Lock()
 	lost := s.table.Failed()
 	s.mu.Unlock()
-	if !lost {
-		return
+	if lost {
+		klog.InfoS("dependency lost", "dependency", "store", "path", "own", "cause", cause)
 	}
-	klog.InfoS("dependency lost", "dependency", "store", "path", "own", "cause", cause)
+}
+
+// doubt asks for a look at the own path after a call that failed there: the store may
+// have refused the one partition only.
+func (s *Store) doubt() {
 	select {
-	case s.lost <- struct{}{}:
+	case s.doubted <- struct{}{}:
 	default:
 	}
 }
@@ -241,10 +245,12 @@
 		if answered(next) {
 			return value, next, true
 		}
-		klog.InfoS("store not reached through a peer", "peer", p.Name, "err", next)
-		s.mu.Lock()
-		s.table.PeerFailed(time.Now(), p.Name)
-		s.mu.Unlock()
+		klog.InfoS("call to the store through a peer failed", "peer", p.Name, "err", next)
+		if pathFailed(next) {
+			s.mu.Lock()
+			s.table.PeerFailed(time.Now(), p.Name)
+			s.mu.Unlock()
+		}
 		if !errors.Is(next, port.ErrUnavailable) {
 			next = fmt.Errorf("%w: %w", port.ErrOutcomeUnknown, next)
 		}
@@ -253,6 +259,12 @@
 	return value, err, asked
 }
 
+// pathFailed reports whether a peer could not help, rather than the store through it.
+func pathFailed(err error) bool {
+	said := errors.Is(err, port.ErrUnavailable) || errors.Is(err, port.ErrOutcomeUnknown)
+	return !said || errors.Is(err, errNoPath)
+}
+
 // choose returns the peers to ask for one call.
 func (s *Store) choose() []reach.Peer {
 	peers := s.peers.Reaching()
@@ -274,25 +286,34 @@
 	return through(ctx, peerpb.NewDRPCStoreClient(conn))
 }
 
-// Watch tries the own path while it fails, until ctx ends.
+// Watch tries the own path after a call failed there, and until it works again. It
+// returns when ctx ends.
 func (s *Store) Watch(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.lost:
+		case <-s.doubted:
 		}
-		for ctx.Err() == nil && !s.Reaches() {
+		for s.probe(ctx); ctx.Err() == nil && !s.Reaches(); s.probe(ctx) {
 			clock.Sleep(ctx, probeInterval)
-			probe, cancel := context.WithTimeout(ctx, probeLimit)
-			// The outcome is recorded; the page itself is not needed.
-			_, _ = direct(probe, s, 0, func(ctx context.Context) (port.NewestPage, error) {
-				return s.own.Newest(ctx, s.probeTopic, lastKey)
-			})
-			cancel()
 		}
 	}
 }
 
+// probe reads an empty page on the own path.
+func (s *Store) probe(ctx context.Context) {
+	probe, cancel := context.WithTimeout(ctx, s.patience())
+	defer cancel()
+	began := time.Now()
+	_, err := s.own.Newest(probe, s.probeTopic, lastKey)
+	switch {
+	case err == nil:
+		s.noteAnswered(time.Since(began))
+	case ctx.Err() == nil:
+		s.noteFailed(err)
+	}
+}
+
 // lastKey is behind every key of an instance, so that a probe returns an empty page.
 const lastKey = "~"
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -50,6 +50,8 @@
 	appends bool
 	late    []func()
 	calls   map[string]int
+	// refused holds the partitions that alone refuse calls.
+	refused map[port.Partition]bool
 }
 
 type partition struct {
@@ -59,7 +61,7 @@
 
 // New starts an empty store.
 func New() *Store {
-	s := &Store{parts: map[port.Partition]*partition{}, changed: make(chan struct{}), calls: map[string]int{}}
+	s := &Store{parts: map[port.Partition]*partition{}, changed: make(chan struct{}), calls: map[string]int{}, refused: map[port.Partition]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+platform.PathAppend, s.append)
 	mux.HandleFunc("GET "+platform.PathRead, s.read)
@@ -86,6 +88,14 @@
 	s.wake()
 }
 
+// Refuse makes one partition refuse all calls, as in an outage of a part of the store.
+func (s *Store) Refuse(topic string, number int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[port.Partition{Topic: topic, Number: number}] = true
+	s.wake()
+}
+
 // Settle does the appends that Late held back.
 func (s *Store) Settle() {
 	s.mu.Lock()
@@ -148,6 +158,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[r.URL.Path]++
+	if s.refused[target(r)] {
+		return Busy
+	}
 	if s.appends && !isAppend {
 		return None
 	}
