policy/takeover: jobs are claimed by records, and a restarted instance claims its own at once

Ruled out: a shorter wait for all. An instance that hears nobody yet would run the jobs of everybody, and two runs of an item cost the slots that are short afterwards.

Change: joblog has a record Claimed; the first claim from the holder stands, by the order of the records. An instance claims what its earlier incarnation held at once, a lost holder's jobs by rank after 1 s and what a draining instance gave back at once.

--- a/domain/joblog/book.go
+++ b/domain/joblog/book.go
@@ -9,7 +9,7 @@
 	Progress *Progress
 }
 
-// Job is the state of one job.
+// Job is the state of one job. The holder in Accepted is the one that holds it now.
 type Job struct {
 	Accepted
 	Items []Item
@@ -81,6 +81,13 @@
 		return b.list(r.Result)
 	case r.Progress != nil:
 		return b.progress(r.Progress)
+	case r.Claimed != nil:
+		j := b.jobs[r.Claimed.Job]
+		if j == nil || j.Holder != r.Claimed.From || r.Claimed.To == r.Claimed.From {
+			return nil
+		}
+		j.Holder = r.Claimed.To
+		return j
 	case r.Ended != nil:
 		j := b.jobs[r.Ended.Job]
 		if j == nil || j.Ended {
--- a/domain/joblog/book_test.go
+++ b/domain/joblog/book_test.go
@@ -15,19 +15,24 @@
 	job := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "job")
 	item := rapid.IntRange(-1, 4).Draw(t, "item")
 	n := rapid.IntRange(1, 3).Draw(t, "n")
+	holder := func(i int) Holder { return Holder{Instance: fmt.Sprint(i)} }
 	switch rapid.IntRange(0, 3).Draw(t, "kind") {
 	case 0:
-		return &Record{Accepted: &Accepted{Job: job, Items: 2 + n, Instance: fmt.Sprint(n)}}
+		return &Record{Accepted: &Accepted{Job: job, Items: 2 + n, Holder: holder(n)}}
 	case 1:
 		return &Record{Result: &Result{Job: job, Item: item, ID: fmt.Sprint(item), State: Completed, Reason: fmt.Sprint(n)}}
 	case 2:
 		return &Record{Progress: &Progress{Job: job, Item: item, After: int64(n)}}
 	}
+	if rapid.Bool().Draw(t, "claim") {
+		return &Record{Claimed: &Claimed{Job: job, From: holder(n), To: holder(rapid.IntRange(1, 3).Draw(t, "to"))}}
+	}
 	return &Record{Ended: &Ended{Job: job}}
 }
 
 // Guards against a position that changes, an item that stands at two positions, a
-// second acceptance that replaces the first, and folds of the same records that
+// second acceptance that replaces the first, a claim from an instance that does not hold
+// the job, and folds of the same records that
 // differ, whatever is doubled, late or void.
 func TestFoldKeepsWhatStands(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -45,6 +50,11 @@
 			if rapid.Bool().Draw(t, "again") {
 				one.Fold(epoch, offset, raw) // a record that is read twice
 			}
+			if r, _ := Decode(raw); r.Claimed != nil && one.Job(r.Claimed.Job) != nil {
+				if holders[r.Claimed.Job] == r.Claimed.From.Instance {
+					holders[r.Claimed.Job] = r.Claimed.To.Instance
+				}
+			}
 			one.Jobs(func(j *Job) {
 				seen := map[int]bool{}
 				for i, r := range j.Results {
@@ -60,7 +70,7 @@
 					}
 				}
 				if h, ok := holders[j.Job]; ok && h != j.Instance {
-					t.Fatalf("%s was accepted by %s and by %s", j.Job, h, j.Instance)
+					t.Fatalf("%s is held by %s, want %s", j.Job, j.Instance, h)
 				}
 				holders[j.Job] = j.Instance
 				other := two.Job(j.Job)
@@ -107,7 +117,7 @@
 func FuzzFold(f *testing.F) {
 	for _, r := range []*Record{
 		{Accepted: &Accepted{Job: "a", Items: 2}}, {Result: &Result{Job: "a", Item: 1}},
-		{Progress: &Progress{Job: "a", Item: 0, After: 3}}, {Ended: &Ended{Job: "a"}},
+		{Progress: &Progress{Job: "a", Item: 0, After: 3}}, {Ended: &Ended{Job: "a"}}, {Claimed: &Claimed{Job: "a"}},
 	} {
 		raw, _ := r.Encode()
 		f.Add(raw)
--- a/domain/joblog/record.go
+++ b/domain/joblog/record.go
@@ -33,12 +33,27 @@
 	Items int `json:"items"`
 	// Content holds the encoded items.
 	Content []Extent `json:"content"`
-	// Instance and Incarnation name the instance that accepted the job; it runs the
-	// items while it lives.
-	Instance    string `json:"instance"`
+	// Holder is the instance that accepted the job; it runs the items until another one
+	// claims the job.
+	Holder
+}
+
+// Holder names the instance that runs the items of a job. Without a name nobody does.
+type Holder struct {
+	Instance string `json:"instance"`
+	// Incarnation changes at each start of the instance.
 	Incarnation uint32 `json:"incarnation"`
 }
 
+// Claimed says that a job goes from one holder to another. It is void unless From holds
+// the job at that place in the order of the records.
+type Claimed struct {
+	Job  string `json:"job"`
+	From Holder `json:"from"`
+	// To has no name when From gives the job back.
+	To Holder `json:"to"`
+}
+
 // State is the state of a listed item.
 type State string
 
@@ -82,6 +97,7 @@
 	Result   *Result   `json:"result,omitempty"`
 	Progress *Progress `json:"progress,omitempty"`
 	Ended    *Ended    `json:"ended,omitempty"`
+	Claimed  *Claimed  `json:"claimed,omitempty"`
 }
 
 // Encode returns the record's bytes.
--- a/node/jobs/fixture_test.go
+++ b/node/jobs/fixture_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
@@ -245,11 +246,11 @@
 	i := &instance{site: s, name: name, index: jobs.NewIndex(client)}
 	i.runner = &jobs.Runner{
 		Index: i.index, Bulk: bulk, View: view, Pool: pool, Protocol: protocol{}, Codec: protocol{}, Members: s.members,
-		Placer: localPlacer{view}, Metrics: &jobs.Metrics{}, Instance: name, Incarnation: incarnation,
+		Placer: localPlacer{view}, Metrics: &jobs.Metrics{}, Self: joblog.Holder{Instance: name, Incarnation: incarnation},
 	}
 	i.runner.Start()
 	service := &jobs.Service{
-		Path: i, Index: i.index, Bulk: bulk, Runner: i.runner, Codec: protocol{}, Revision: view.Revision, Instance: name, Incarnation: incarnation,
+		Path: i, Index: i.index, Bulk: bulk, Runner: i.runner, Codec: protocol{}, Revision: view.Revision, Self: i.runner.Self,
 		Refuse: func(w http.ResponseWriter, status int, _ time.Duration, cause string) { http.Error(w, cause, status) },
 	}
 	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { service.Serve(w, r, route) }))
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
@@ -16,6 +15,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/takeover"
 )
 
 const (
@@ -23,12 +23,6 @@
 	scheduleInterval = 40 * time.Millisecond
 	// startsPerLook bounds the items that start at one look.
 	startsPerLook = 8
-	// takeoverDelay is the time after the start before jobs of other instances are
-	// taken over, in which the others are heard.
-	takeoverDelay = 2 * time.Second
-	// lostAfter is the time for which the instance that accepted a job has to be
-	// silent before its jobs are taken over.
-	lostAfter = time.Second
 	// headroom is the number of slots of a server that items leave free for online
 	// requests.
 	headroom = 1
@@ -60,17 +54,15 @@
 	Members  Members
 	Placer   gateway.Placer
 	Metrics  *Metrics
-	// Instance and Incarnation name this instance.
-	Instance    string
-	Incarnation uint32
+	// Self names this instance.
+	Self joblog.Holder
 
 	mu       sync.Mutex
-	started  time.Time
+	claims   *takeover.Table
 	work     map[string]*work
 	contents map[string][]Item
 	running  int
 	leaving  bool
-	absent   map[string]time.Time
 	kicked   chan struct{}
 	runs     sync.WaitGroup
 }
@@ -95,8 +87,8 @@
 
 // Start prepares the runner; Run must follow.
 func (r *Runner) Start() {
-	r.started = time.Now()
-	r.work, r.contents, r.absent = map[string]*work{}, map[string][]Item{}, map[string]time.Time{}
+	r.claims = takeover.NewTable(r.Self, time.Now())
+	r.work, r.contents = map[string]*work{}, map[string][]Item{}
 	r.kicked = make(chan struct{}, 1)
 }
 
@@ -139,7 +131,9 @@
 	})
 	alive := r.Members.Alive()
 	r.mu.Lock()
-	r.update(now, jobs, alive)
+	for _, claim := range r.update(now, jobs, alive) {
+		r.runs.Go(func() { r.record(ctx, claim) })
+	}
 	pending, most := r.pending(now), min(startsPerLook, runningMost-r.running)
 	r.mu.Unlock()
 	full := map[string]bool{}
@@ -168,19 +162,30 @@
 	return r.work[job] != nil
 }
 
-// update takes the jobs that fall to this instance, and cancels runs of items that
-// are listed or whose job has ended.
-func (r *Runner) update(now time.Time, jobs []joblog.Job, alive map[string]uint32) {
+// update takes the jobs that this instance holds, cancels runs of items that are listed
+// or whose job has ended, and returns the claims to make.
+func (r *Runner) update(now time.Time, jobs []joblog.Job, alive map[string]uint32) (claims []*joblog.Claimed) {
 	for _, j := range jobs {
 		w := r.work[j.Job]
-		mine := j.Open() && r.mine(now, &j, alive)
+		mine := false
+		switch {
+		case !j.Open():
+			r.claims.Forget(j.Job)
+		case r.leaving:
+		default:
+			decision := r.claims.Decide(now, j.Job, j.Holder, alive)
+			mine = decision == takeover.Run
+			if decision == takeover.Claim {
+				claims = append(claims, &joblog.Claimed{Job: j.Job, From: j.Holder, To: r.Self})
+			}
+		}
 		if w == nil {
 			if !mine {
 				continue
 			}
 			w = &work{items: map[int]*run{}}
 			r.work[j.Job] = w
-			klog.InfoS("job taken", "job", j.Job, "acceptedBy", j.Instance, "listed", len(j.Results), "items", len(j.Items))
+			klog.InfoS("job taken", "job", j.Job, "listed", len(j.Results), "items", len(j.Items))
 		}
 		w.job, w.mine = j, mine
 		for i, it := range w.items {
@@ -191,45 +196,20 @@
 		if !mine && w.idle() {
 			delete(r.work, j.Job)
 			delete(r.contents, j.Job)
-			delete(r.absent, j.Job)
 		}
 	}
+	return claims
 }
 
-// mine reports whether a job falls to this instance: it accepted the job, or the
-// instance that did is lost and this one ranks first among those that are left.
-func (r *Runner) mine(now time.Time, j *joblog.Job, alive map[string]uint32) bool {
-	if r.leaving {
-		return false
-	}
-	if j.Instance == r.Instance && j.Incarnation == r.Incarnation {
-		return true
-	}
-	holder := j.Instance
-	if incarnation, ok := alive[holder]; ok && incarnation == j.Incarnation {
-		delete(r.absent, j.Job)
-		return false
-	}
-	since, ok := r.absent[j.Job]
-	if !ok {
-		r.absent[j.Job] = now
-		return false
-	}
-	if now.Sub(since) < lostAfter || now.Sub(r.started) < takeoverDelay {
-		return false
-	}
-	best, name := rank(j.Job, r.Instance), r.Instance
-	for other := range alive {
-		if v := rank(j.Job, other); v > best || v == best && other > name {
-			best, name = v, other
-		}
-	}
-	return name == r.Instance
+// record writes a claim, or the giving back of a job. A claim that is not written is made
+// again at a later look.
+func (r *Runner) record(ctx context.Context, c *joblog.Claimed) {
+	ctx, cancel := context.WithTimeout(ctx, storeLimit)
+	defer cancel()
+	err := r.Index.Append(ctx, &joblog.Record{Claimed: c})
+	klog.InfoS("job claimed", "job", c.Job, "from", c.From.Instance, "fromIncarnation", c.From.Incarnation, "to", c.To.Instance, "err", err)
 }
 
-// rank orders instances for a job by rendezvous hashing.
-func rank(job, instance string) uint64 { return xxhash.Sum64String(job + "\x00" + instance) }
-
 // candidate is an item that could start.
 type candidate struct {
 	*work
@@ -343,12 +323,16 @@
 	return items, nil
 }
 
-// Drain stops all runs and keeps the output that they have, so that other instances
-// go on from there. It returns when that is done or ctx ends.
+// Drain stops all runs, keeps the output that they have and gives the jobs back, so that
+// other instances go on from there. It returns when that is done or ctx ends.
 func (r *Runner) Drain(ctx context.Context) {
 	r.mu.Lock()
 	r.leaving = true
-	for _, w := range r.work {
+	var held []string
+	for job, w := range r.work {
+		if w.mine && w.job.Open() {
+			held = append(held, job)
+		}
 		for _, it := range w.items {
 			if it.busy && !it.saving {
 				it.stop(errLeaving)
@@ -356,13 +340,22 @@
 		}
 	}
 	r.mu.Unlock()
-	for ctx.Err() == nil {
-		r.mu.Lock()
-		left := r.running
-		r.mu.Unlock()
-		if left == 0 {
+	for r.busy() {
+		if ctx.Err() != nil {
 			return
 		}
 		clock.Sleep(ctx, scheduleInterval)
 	}
+	var released sync.WaitGroup
+	for _, job := range held {
+		released.Go(func() { r.record(ctx, &joblog.Claimed{Job: job, From: r.Self}) })
+	}
+	released.Wait()
+}
+
+// busy reports whether items run here.
+func (r *Runner) busy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running > 0
 }
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -45,9 +45,8 @@
 	Revision func() *serving.Revision
 	// Refuse writes a refusal with the time after which the caller may return.
 	Refuse func(w http.ResponseWriter, status int, retryAfter time.Duration, cause string)
-	// Instance and Incarnation name this instance.
-	Instance    string
-	Incarnation uint32
+	// Self names this instance.
+	Self joblog.Holder
 }
 
 // Path tells how an instance reaches the store.
@@ -178,7 +177,7 @@
 	s.Index.outage.noteAnswered()
 	return &joblog.Accepted{
 		Job: call.Job, Host: gateway.Host(r), Path: r.URL.EscapedPath(), Items: len(items), Content: extents[0],
-		Instance: s.Instance, Incarnation: s.Incarnation,
+		Holder: s.Self,
 	}, nil
 }
 
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
@@ -126,15 +127,16 @@
 		return nil, fmt.Errorf("serve: socket for datagrams: %w", err)
 	}
 	i.group = group
+	self := joblog.Holder{Instance: s.Instance, Incarnation: i.incarnation}
 	i.runner = &jobs.Runner{
 		Index: i.index, Bulk: bulk, View: i.view, Pool: i.pool, Protocol: p.Protocol, Codec: p.Protocol,
-		Members: group, Placer: group, Metrics: i.jobMetrics, Instance: s.Instance, Incarnation: i.incarnation,
+		Members: group, Placer: group, Metrics: i.jobMetrics, Self: self,
 	}
 	i.runner.Start()
 	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Contain: group, Metrics: gateway.NewMetrics()}
 	i.gateway.Jobs = &jobs.Service{
 		Index: i.index, Bulk: bulk, Runner: i.runner, Codec: p.Protocol, Revision: i.view.Revision, Path: i.store,
-		Refuse: i.refuse, Instance: s.Instance, Incarnation: i.incarnation,
+		Refuse: i.refuse, Self: self,
 	}
 	i.callers = &http.Server{
 		Handler: i.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
