policy/balance: the instance with the most urgent item gets the next free slot

An instance looks for slots as soon as one of its items ends and takes the slot that fell free; the others look every 40 ms and find none.

Change: a table remembers batch requests that found no slot for 120 ms; a request with more slack is refused meanwhile.

--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		// The lock is not held: the placer may ask another instance.
-		lease, ok := r.Placer.Place(balance.Query{Service: service, Class: balance.Batch, Headroom: headroom})
+		lease, ok := r.Placer.Place(balance.Query{Service: service, Class: balance.Batch, Headroom: headroom, Slack: c.latest.Sub(now)})
 		if !ok {
 			full[service] = true
 			continue
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -85,6 +85,8 @@
 	Avoid []uint32
 	// Home is the data centre of the asking instance.
 	Home string
+	// SlackMs is the time for which a batch request can wait, in ms.
+	SlackMs int64
 }
 
 // grant answers an ask; Server is zero when there is none.
--- a/node/peers/place.go
+++ b/node/peers/place.go
@@ -23,7 +23,7 @@
 // Place chooses a server for a request: by the hub's figures when one answers, by
 // this instance's own otherwise. It returns false when there is no server.
 func (g *Group) Place(q balance.Query) (*fleet.Lease, bool) {
-	q.Home = g.opt.DataCentre
+	q.Home, q.Asker = g.opt.DataCentre, g.opt.Name
 	hub, self := g.currentHub()
 	if hub == nil {
 		q.Exact = self
@@ -86,6 +86,7 @@
 	}
 	g.send(kindAsk, &ask{
 		Name: g.opt.Name, Sequence: sequence, Service: q.Service, Class: q.Class, Once: q.Once, Headroom: q.Headroom, Avoid: avoid, Home: q.Home,
+		SlackMs: q.Slack.Milliseconds(),
 	}, []netip.AddrPort{to})
 	timer := time.NewTimer(askLimit)
 	defer timer.Stop()
@@ -127,7 +128,10 @@
 
 // onAsk answers a peer's question.
 func (g *Group) onAsk(a *ask, from netip.AddrPort) {
-	q := balance.Query{Service: a.Service, Class: a.Class, Once: a.Once, Headroom: a.Headroom, Home: a.Home, Exact: true, Tried: map[string]bool{}}
+	q := balance.Query{
+		Service: a.Service, Class: a.Class, Once: a.Once, Headroom: a.Headroom, Home: a.Home, Exact: true, Tried: map[string]bool{},
+		Slack: time.Duration(a.SlackMs) * time.Millisecond, Asker: a.Name,
+	}
 	for _, h := range a.Avoid {
 		q.Tried[g.serverID(h)] = true
 	}
--- a/policy/agenda/load_test.go
+++ b/policy/agenda/load_test.go
@@ -171,23 +171,29 @@
 // look lets each instance start its items where slots are free.
 func (m *model) look(now time.Time) {
 	m.at(now.Add(look), m.look)
-	byInstance := map[string][]*item{}
+	for _, n := range m.random.Perm(instances) {
+		m.place(now, fmt.Sprint("i", n))
+	}
+}
+
+// place starts the items of an instance where slots are free, the most urgent first.
+func (m *model) place(now time.Time, instance string) {
+	var pending []*item
 	for _, it := range m.items {
-		if it.server == "" && it.doneAt.IsZero() && !now.Before(it.notBefore) {
-			byInstance[it.instance] = append(byInstance[it.instance], it)
+		if it.instance == instance && it.server == "" && it.doneAt.IsZero() && !now.Before(it.notBefore) {
+			pending = append(pending, it)
 		}
 	}
-	order := m.random.Perm(instances)
-	for _, n := range order {
-		pending := byInstance[fmt.Sprint("i", n)]
-		slices.SortStableFunc(pending, func(a, b *item) int { return m.pace.LatestStart(a.Item).Compare(m.pace.LatestStart(b.Item)) })
-		for _, it := range pending {
-			c, ok := m.table.Pick(now, balance.Query{Service: "svc", Class: balance.Batch, Headroom: 1, Exact: true})
-			if !ok {
-				break
-			}
-			m.start(now, it, c.Server.ID)
+	slices.SortStableFunc(pending, func(a, b *item) int { return m.pace.LatestStart(a.Item).Compare(m.pace.LatestStart(b.Item)) })
+	for _, it := range pending {
+		slack := m.pace.LatestStart(it.Item).Sub(now)
+		c, ok := m.table.Pick(now, balance.Query{
+			Service: "svc", Class: balance.Batch, Headroom: 1, Exact: true, Asker: instance, Slack: slack,
+		})
+		if !ok {
+			return
 		}
+		m.start(now, it, c.Server.ID)
 	}
 }
 
@@ -208,6 +214,8 @@
 		if it.starts == 1 {
 			m.pace.Ran(took, it.Tokens)
 		}
+		// An instance looks for slots as soon as one of its items ends.
+		m.place(now, it.instance)
 	})
 }
 
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -230,3 +230,82 @@
 		t.Fatalf("failure rate %.2f of a full server", rate)
 	}
 }
+
+// Guards against the most urgent item of the fleet waiting for seconds, because each
+// slot that falls free is taken at once by the instance whose item ended there (found on
+// trouble-1 of kme-confirm: an item that was due next waited 13 s).
+func TestInstanceWithTheLeastSlackGetsTheNextSlot(t *testing.T) {
+	tb := table(1, 2)
+	ask := func(now time.Time, asker string, slack time.Duration) bool {
+		c, ok := tb.Pick(now, Query{Service: "svc", Class: Batch, Exact: true, Asker: asker, Slack: slack})
+		if ok {
+			tb.Started(c.Server.ID, Batch)
+		}
+		return ok
+	}
+	ask(epoch, "a", 9*time.Second)
+	ask(epoch, "a", 9*time.Second)
+	if ask(epoch, "b", time.Second) {
+		t.Fatal("a slot on a full server")
+	}
+	tb.Ended(epoch, "s00", Batch, Answered)
+	if ask(epoch, "a", 9*time.Second) {
+		t.Fatal("the instance whose item ended takes the slot")
+	}
+	if !ask(epoch, "b", time.Second) {
+		t.Fatal("the instance with the least slack does not get the slot")
+	}
+	tb.Ended(epoch, "s00", Batch, Answered)
+	if !ask(epoch, "a", 9*time.Second) {
+		t.Fatal("a slot is kept for an instance that has got one")
+	}
+	// An instance that does not ask again keeps nothing.
+	if ask(epoch, "b", time.Second) {
+		t.Fatal("a slot on a full server")
+	}
+	tb.Ended(epoch, "s00", Batch, Answered)
+	if !ask(epoch.Add(2*wantFor), "a", 9*time.Second) {
+		t.Fatal("a slot is kept for an instance that does not ask")
+	}
+}
+
+// Guards against online requests that stop an item on a fast server while a slower one
+// has free slots.
+func TestNoItemYieldsWhileASlotIsFree(t *testing.T) {
+	tb := table(2, 4)
+	for i, step := range []time.Duration{14 * time.Millisecond, 37 * time.Millisecond} {
+		for range 50 {
+			tb.Pace(fmt.Sprint("s0", i), step)
+		}
+	}
+	for range 4 {
+		tb.Started("s00", Batch)
+	}
+	for range 4 {
+		c := pick(t, tb, Query{Exact: true})
+		if c.Preempt || c.Server.ID != "s01" {
+			t.Fatalf("%+v", c)
+		}
+		tb.Started("s01", Online)
+	}
+	if c := pick(t, tb, Query{Exact: true}); !c.Preempt {
+		t.Fatalf("%+v", c)
+	}
+}
+
+// Guards against long items on slow servers while much faster ones are nearly idle.
+func TestItemsPreferFastServers(t *testing.T) {
+	tb := table(2, 8)
+	for i, step := range []time.Duration{14 * time.Millisecond, 37 * time.Millisecond} {
+		for range 50 {
+			tb.Pace(fmt.Sprint("s0", i), step)
+		}
+	}
+	for n := range 2 {
+		c := pick(t, tb, Query{Class: Batch, Exact: true})
+		if c.Server.ID != "s00" {
+			t.Fatalf("item %d goes to %s", n, c.Server.ID)
+		}
+		tb.Started("s00", Batch)
+	}
+}
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -26,6 +26,12 @@
 	Exact bool
 	// Headroom is the number of slots that a batch request leaves free.
 	Headroom int
+	// Slack is the time for which a batch request can wait and still be done when it is
+	// due; it is negative for one that will be late. Asker names the instance that asks,
+	// so that the instance with the least slack gets the next free slot; without a name
+	// the order of asking decides.
+	Slack time.Duration
+	Asker string
 }
 
 // Choice is the chosen server with the figures that decided.
@@ -66,6 +72,11 @@
 	// are free.
 	onlinePace = 0.25
 	batchPace  = 1.0
+	// wantFor is the time for which a batch request that found no slot keeps requests
+	// with more slack from the next one: instances ask again every 40 ms.
+	wantFor = 120 * time.Millisecond
+	// slackMargin is the difference in slack that counts.
+	slackMargin = 500 * time.Millisecond
 	// draws is the number of candidates that are drawn; the best of them is taken.
 	// Instances decide on figures that are up to an interval old, so that all of
 	// them taking the best server would overload it.
@@ -111,6 +122,9 @@
 		b := slices.MinFunc(down, func(a, b *serverState) int { return a.downUntil.Compare(b.downUntil) })
 		return b.choice(), true
 	}
+	if q.Class == Batch && t.waitsLonger(now, q) {
+		return Choice{}, false
+	}
 	mean := meanPace(usable)
 	candidates := make([]candidate, 0, len(usable))
 	for _, b := range usable {
@@ -120,8 +134,10 @@
 		candidates = append(candidates, candidate{b, t.score(now, b, q, mean), b.tier()})
 	}
 	if len(candidates) == 0 {
+		t.want(now, q)
 		return Choice{}, false
 	}
+	delete(t.wants, q.Asker)
 	best := t.draw(candidates, q.Exact)
 	if best.dead > 0 {
 		best.trialUntil = now.Add(trialLimit)
@@ -129,6 +145,39 @@
 	return best.choice(), true
 }
 
+// want is a batch request that found no slot.
+type want struct {
+	service string
+	slack   time.Duration
+	at      time.Time
+}
+
+// want remembers a batch request that found no slot.
+func (t *Table) want(now time.Time, q Query) {
+	if q.Class == Batch && q.Asker != "" {
+		t.wants[q.Asker] = want{q.Service, q.Slack, now}
+	}
+}
+
+// waitsLonger reports whether another instance waits for a slot with less slack. The
+// request is then remembered as well. Without this an instance whose item has just
+// ended takes the slot at once, and the others never find one.
+func (t *Table) waitsLonger(now time.Time, q Query) bool {
+	if q.Asker == "" {
+		return false
+	}
+	for asker, w := range t.wants {
+		switch age := now.Sub(w.at); {
+		case age > wantFor:
+			delete(t.wants, asker)
+		case asker != q.Asker && w.service == q.Service && w.slack-age < q.Slack-slackMargin:
+			t.want(now, q)
+			return true
+		}
+	}
+	return false
+}
+
 // filter returns the servers that may take the request and those that are left out
 // because they do not answer.
 func (t *Table) filter(now time.Time, q Query) (usable, down []*serverState) {
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -109,14 +109,16 @@
 	servers  map[string]*serverState
 	services map[string][]*serverState
 	peers    map[string]*statement
-	random   *rand.Rand
+	// wants holds, by asking instance, the batch requests that found no slot lately.
+	wants  map[string]want
+	random *rand.Rand
 }
 
 // NewTable returns an empty table.
 func NewTable(random *rand.Rand) *Table {
 	return &Table{
 		servers: map[string]*serverState{}, services: map[string][]*serverState{}, peers: map[string]*statement{},
-		random: random,
+		wants: map[string]want{}, random: random,
 	}
 }
 
