--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -305,6 +305,21 @@
 	}
 }
 
+// Guards against a call that waits for a peer whose own path has gone silent, while
+// another peer reaches the store, and against that peer not noticing its loss.
+func TestSilentPeerIsPassedOver(t *testing.T) {
+	store := &log{}
+	a, b, c := start(t, "a", store), start(t, "b", store), start(t, "c", store)
+	a.hears(b, c)
+	a.peers.list[0].Near = true // it is asked first
+	a.path.set(silent)
+	b.path.set(silent)
+	if _, err := a.Append(limited(t), topic, [][]byte{[]byte("x")}); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the peer does not notice its loss", func() bool { return !b.Reaches() })
+}
+
 // Guards against a peer that cannot be connected to ending a call that another peer
 // could make.
 func TestNextPeerIsAsked(t *testing.T) {
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -166,6 +166,7 @@
 	if value, err, asked := detour(ctx, s, wait, through); asked && answered(err) {
 		return value, err
 	}
+	// No peer helps: the own path may only have been slow.
 	r := <-done // it ends with ctx or with the client's own limit
 	return r.value, r.err
 }
@@ -191,10 +192,9 @@
 	value, err := own(ctx)
 	switch {
 	case answered(err):
-		// A call that was kept waiting does not show how fast the store is.
 		took := time.Since(began)
 		if wait > 0 {
-			took = min(took, s.patience()/2)
+			took = 0 // a call that was kept waiting does not show how fast the store is
 		}
 		s.noteAnswered(took)
 	case ctx.Err() == nil:
--- a/policy/reach/reach.go
+++ b/policy/reach/reach.go
@@ -68,13 +68,16 @@
 // Own reports whether the instance's own path works, as far as it knows.
 func (t *Table) Own() bool { return !t.failed }
 
-// Answered records a call that the store answered on the own path within d. It reports
-// whether the path had failed before.
+// Answered records a call that the store answered on the own path within d, which is
+// zero when that does not show how fast the store is. It reports whether the path had
+// failed before.
 func (t *Table) Answered(d time.Duration) (regained bool) {
 	if t.usual == 0 {
 		t.usual = d
 	}
-	t.usual += time.Duration(tookShare * float64(d-t.usual))
+	if d > 0 {
+		t.usual += time.Duration(tookShare * float64(d-t.usual))
+	}
 	regained, t.failed = t.failed, false
 	return regained
 }
@@ -94,10 +97,11 @@
 // PeerFailed records that a peer could not help.
 func (t *Table) PeerFailed(now time.Time, name string) { t.avoid[name] = now.Add(avoidFor) }
 
-// Choose returns the peers to ask, in this order: near ones first. The order of the
-// list is kept otherwise; a caller that shuffles it spreads the load.
+// Choose returns the peers to ask, in this order: a near one first, then one of another
+// data centre, since a cut often takes several instances of one, and so on. The order of
+// the list is kept otherwise; a caller that shuffles it spreads the load.
 func (t *Table) Choose(now time.Time, peers []Peer) []Peer {
-	var near, far []Peer
+	var near, far, order []Peer
 	for _, p := range peers {
 		switch {
 		case !p.Reaches || now.Before(t.avoid[p.Name]):
@@ -107,7 +111,11 @@
 			far = append(far, p)
 		}
 	}
-	return append(near, far...)
+	for len(near) > 0 && len(far) > 0 {
+		order = append(order, near[0], far[0])
+		near, far = near[1:], far[1:]
+	}
+	return append(append(order, near...), far...)
 }
 
 // Outlook returns what the instance believes of the store.
