policy/agenda: items that cannot be done in time go last

With too little capacity the item that is due first is late, then the next one, and so on.

Change: an item that even a fast server cannot finish in time has more slack than all others.

--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -151,7 +152,7 @@
 			continue
 		}
 		// The lock is not held: the placer may ask another instance.
-		lease, ok := r.Placer.Place(balance.Query{Service: service, Class: balance.Batch, Headroom: headroom, Slack: c.latest.Sub(now)})
+		lease, ok := r.Placer.Place(balance.Query{Service: service, Class: balance.Batch, Headroom: headroom, Slack: c.slack})
 		if !ok {
 			full[service] = true
 			continue
@@ -220,8 +221,8 @@
 	*work
 	index int
 	route *serving.Route
-	// latest is the time until which it can wait and still be done when it is due.
-	latest time.Time
+	// slack is the time for which it can wait and still be done when it is due.
+	slack time.Duration
 }
 
 // pending returns the items that could start, the most urgent one at the front.
@@ -244,11 +245,11 @@
 			if w.job.Items[i].Listed || it != nil && (it.busy || now.Before(it.notBefore)) {
 				continue
 			}
-			list = append(list, candidate{w, i, route, r.pace.LatestStart(w.item(i, route))})
+			list = append(list, candidate{w, i, route, r.pace.Slack(now, w.item(i, route))})
 		}
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
-		if c := a.latest.Compare(b.latest); c != 0 {
+		if c := cmp.Compare(a.slack, b.slack); c != 0 {
 			return c
 		}
 		return a.index - b.index
--- a/policy/agenda/agenda.go
+++ b/policy/agenda/agenda.go
@@ -1,8 +1,9 @@
 // Package agenda orders the items of batch jobs: which one starts next.
 //
-// The order is that of the latest start: the time until which an item can wait and still
-// be done when it is due. An item that is long, or that has lost its output, goes before
-// a short one of the same job. It does no I/O and reads no clock.
+// The order is that of the slack: the time for which an item can wait and still be done
+// when it is due. An item that is long, or that has lost its output, goes before a short
+// one of the same job; one that is late in any case goes last. It does no I/O and reads no
+// clock.
 package agenda
 
 import "time"
@@ -13,6 +14,11 @@
 	firstStep = 3 * time.Millisecond
 	// stepShare is the weight of one completed run in the mean time of a token.
 	stepShare = 0.05
+	// fastShare is the time of a run on a fast server by that on a mean one: the users'
+	// servers differ in speed by a factor of 2.7.
+	fastShare = 0.55
+	// lateSlack is above the slack of every item that can be done in time.
+	lateSlack = time.Hour
 )
 
 // Pace is the mean time of one token of an item's size, over the servers that ran items.
@@ -49,7 +55,15 @@
 	Spent  time.Duration
 }
 
-// LatestStart returns the time until which the item can wait.
-func (p *Pace) LatestStart(i Item) time.Time {
-	return i.Due.Add(-max(0, p.Of(i.Tokens)-i.Spent))
+// Slack returns the time for which the item can wait at now. An item that cannot be done
+// in time any more, even on a fast server, has more slack than all that can: its result is
+// worth little, and run first it would make others late as well. Among such items the one
+// that was due first has the least slack.
+func (p *Pace) Slack(now time.Time, i Item) time.Duration {
+	left := max(0, p.Of(i.Tokens)-i.Spent)
+	untilDue := i.Due.Sub(now)
+	if untilDue < time.Duration(fastShare*float64(left)) {
+		return lateSlack + untilDue
+	}
+	return untilDue - left
 }
--- a/policy/agenda/load_test.go
+++ b/policy/agenda/load_test.go
@@ -1,6 +1,7 @@
 package agenda_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -184,9 +185,9 @@
 			pending = append(pending, it)
 		}
 	}
-	slices.SortStableFunc(pending, func(a, b *item) int { return m.pace.LatestStart(a.Item).Compare(m.pace.LatestStart(b.Item)) })
+	slices.SortStableFunc(pending, func(a, b *item) int { return cmp.Compare(m.pace.Slack(now, a.Item), m.pace.Slack(now, b.Item)) })
 	for _, it := range pending {
-		slack := m.pace.LatestStart(it.Item).Sub(now)
+		slack := m.pace.Slack(now, it.Item)
 		c, ok := m.table.Pick(now, balance.Query{
 			Service: "svc", Class: balance.Batch, Headroom: 1, Exact: true, Asker: instance, Slack: slack,
 		})
