node/peers: totals of a large fleet fit the receiver's buffer

Cause: the buffer held 16 KB; the totals of 390 instances before 740 servers, the size that the users name, take 20.8 KB and would be cut off, so that no instance had a hub. The test fails with the buffer before.

--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -47,7 +47,9 @@
 	forgetAfter = 60 * time.Second
 	// announceRetry is the pause after a failed announcement in the store.
 	announceRetry = 500 * time.Millisecond
-	maxDatagram   = 16 << 10
+	// maxDatagram is the largest datagram. The totals of 390 instances before 740 servers
+	// take 21 KB.
+	maxDatagram = 64 << 10
 	// heldMost bounds the requests that a statement of a hub names as held back.
 	heldMost = 64
 )
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/contain"
 )
 
 // testLimit bounds the wait for something that has to come; it is no measure.
@@ -280,6 +281,29 @@
 	}
 }
 
+// Guards against totals that are cut off by the receiver at the size that the users name
+// for two years from now: 390 instances before 740 servers.
+func TestTotalsOfALargeFleetFitADatagram(t *testing.T) {
+	body := &total{Name: "front-bp-a-100"}
+	for i := range 740 {
+		body.Loads = append(body.Loads, load{Server: hash(fmt.Sprint("s", i)), Online: 8, Batch: 8, Pace: 1000, Answered: 1 << 20, Failed: 1 << 16})
+	}
+	for i := range 390 {
+		body.Alive = append(body.Alive, member{Name: hash(fmt.Sprint("i", i)), Incarnation: 1 << 31, Reaches: true})
+	}
+	for i := range heldMost {
+		body.Held = append(body.Held, contain.Fingerprint(i)<<32)
+	}
+	raw, err := encode(kindTotal, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(raw) > maxDatagram || len(raw) > 65507 {
+		t.Fatalf("%d bytes", len(raw))
+	}
+	t.Logf("%d bytes", len(raw))
+}
+
 func FuzzReceive(f *testing.F) {
 	for k, body := range map[kind]any{
 		kindState: &state{Name: "n", Loads: []load{{Server: 1, Online: 2}}}, kindTotal: &total{Name: "n", Alive: []member{{Name: 1}}},
