policy/retry: an idle fleet repeats the requests of a server that died; counters of store calls

Cause of TestLeavingServer (KNOWN-RED, not explained until now): with a stack dump at 30 s three calls wait in node/dispatch for retry budget. Their server was killed; no other traffic earns attempts, and they wait until their deadline. TestBystandersOfCrash shows the same.

Ruled out: attempts that time alone earns. They break the stated bound of a tenth in a total outage (TestBudgetInOutage fails with them).

Change: while servers report their load, and fewer than three have failed, one attempt a second is earned up to the reserve of three. The new test fails without it.

node/relay counts its calls by path; a draining instance's giving back has a log line of its own.

--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -138,7 +138,7 @@
 	alive := r.Members.Alive()
 	r.mu.Lock()
 	for _, claim := range r.update(now, jobs, alive) {
-		r.runs.Go(func() { r.record(ctx, claim) })
+		r.runs.Go(func() { r.writeClaim(ctx, claim) })
 	}
 	pending, most := r.pending(now), min(startsPerLook, runningMost-r.running)
 	r.mu.Unlock()
@@ -207,13 +207,17 @@
 	return claims
 }
 
-// record writes a claim, or the giving back of a job. A claim that is not written is made
-// again at a later look.
-func (r *Runner) record(ctx context.Context, c *joblog.Claimed) {
+// writeClaim writes a claim, or the giving back of a job. A claim that is not written is
+// made again at a later look.
+func (r *Runner) writeClaim(ctx context.Context, c *joblog.Claimed) {
 	ctx, cancel := context.WithTimeout(ctx, storeLimit)
 	defer cancel()
 	err := r.Index.Append(ctx, &joblog.Record{Claimed: c})
-	klog.InfoS("job claimed", "job", c.Job, "from", c.From.Instance, "fromIncarnation", c.From.Incarnation, "to", c.To.Instance, "err", err)
+	if c.To.Instance == "" {
+		klog.InfoS("job given back", "job", c.Job, "err", err)
+		return
+	}
+	klog.InfoS("job claimed", "job", c.Job, "from", c.From.Instance, "fromIncarnation", c.From.Incarnation, "err", err)
 }
 
 // candidate is an item that could start.
@@ -363,7 +367,7 @@
 	}
 	var released sync.WaitGroup
 	for _, job := range held {
-		released.Go(func() { r.record(ctx, &joblog.Claimed{Job: job, From: r.Self}) })
+		released.Go(func() { r.writeClaim(ctx, &joblog.Claimed{Job: job, From: r.Self}) })
 	}
 	released.Wait()
 }
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -47,8 +48,14 @@
 	table *reach.Table
 	// doubted asks for a look at the own path.
 	doubted chan struct{}
+
+	// counts holds the calls by path and outcome.
+	counts expvar.Map
 }
 
+// Map returns the counters as one expvar map.
+func (s *Store) Map() *expvar.Map { return &s.counts }
+
 var _ port.Store = (*Store)(nil)
 
 // NewStore returns a store whose own path is own. Topic keeps the newest record of
@@ -190,6 +197,7 @@
 func direct[T any](ctx context.Context, s *Store, wait time.Duration, own func(context.Context) (T, error)) (T, error) {
 	began := time.Now()
 	value, err := own(ctx)
+	s.counts.Add("own", 1)
 	switch {
 	case answered(err):
 		took := time.Since(began)
@@ -198,6 +206,7 @@
 		}
 		s.noteAnswered(took)
 	case ctx.Err() == nil:
+		s.counts.Add("own_failed", 1)
 		s.doubt()
 	}
 	return value, err
@@ -242,10 +251,12 @@
 		var next error
 		value, next = call(ctx, s, p, wait, through)
 		asked = true
+		s.counts.Add("through_peer", 1)
 		if answered(next) {
 			return value, next, true
 		}
 		klog.InfoS("call to the store through a peer failed", "peer", p.Name, "err", next)
+		s.counts.Add("through_peer_failed", 1)
 		if pathFailed(next) {
 			s.mu.Lock()
 			s.table.PeerFailed(time.Now(), p.Name)
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -162,6 +162,7 @@
 	all := new(expvar.Map).Init()
 	all.Set("gateway", i.gateway.Metrics.Map())
 	all.Set("jobs", i.jobMetrics.Map())
+	all.Set("store_calls", i.store.Map())
 	all.Set("connections_opened", expvar.Func(func() any { return i.pool.Opened() }))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+i.platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -29,6 +29,11 @@
 	// not refill, so that a total outage from the start adds no more than this.
 	// Hedges do not use it: it would be gone before a server dies.
 	initialReserve = minReserve
+	// idleEarned attempts a second are earned up to minReserve while servers are known to
+	// live, so that the requests of a server that died are repeated although no other
+	// traffic earns attempts. aliveFor is the time for which a sign of life counts.
+	idleEarned = 1.0
+	aliveFor   = 2 * time.Second
 	// rounding makes ten shares of a tenth one attempt.
 	rounding = 1e-9
 )
@@ -45,6 +50,7 @@
 	start     time.Time
 	failed    []string // servers that failed since the last answer
 	trial     time.Time
+	alive     time.Time // when a server gave a sign of life other than an answer
 }
 
 // Success earns credit for an answered request.
@@ -62,6 +68,13 @@
 // that an outage is over.
 func (b *Budget) Probed() { b.failed = b.failed[:0] }
 
+// Alive records that a server gave a sign of life other than the answer to a request or a
+// probe, such as a report of its load.
+func (b *Budget) Alive(now time.Time) {
+	b.advance(now)
+	b.alive = now
+}
+
 // Failure records that a server failed, by an online request, batch work or a
 // probe.
 func (b *Budget) Failure(now time.Time, server string) {
@@ -141,6 +154,7 @@
 	if steps <= 0 {
 		return
 	}
+	b.earnIdle(now, time.Duration(steps)*slot)
 	for range min(steps, slots) {
 		b.pos = (b.pos + 1) % slots
 		b.successes[b.pos] = 0
@@ -148,3 +162,13 @@
 	b.start = b.start.Add(time.Duration(steps) * slot)
 	b.credit = min(b.credit, b.reserve())
 }
+
+// earnIdle earns attempts for the time since the last call, if a server was known to live
+// in it and there is no outage.
+func (b *Budget) earnIdle(now time.Time, passed time.Duration) {
+	if b.alive.IsZero() || now.Sub(b.alive) >= aliveFor || b.Outage() {
+		return
+	}
+	room := minReserve - float64(initialReserve-b.initial) - b.credit
+	b.credit += max(0, min(room, idleEarned*passed.Seconds()))
+}
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -117,6 +117,52 @@
 	})
 }
 
+// Guards against requests of a server that died waiting until their deadline for attempts
+// that no other traffic earns, although the other servers report (the cause of
+// TestLeavingServer and TestBystandersOfCrash), and against attempts that time earns in
+// an outage or when nothing is known of the servers.
+func TestIdleFleetRepeatsTheRequestsOfALostServer(t *testing.T) {
+	spent := func(b *Budget) time.Time {
+		now := epoch
+		for b.Take(now) {
+		}
+		return now
+	}
+	attempts := func(b *Budget, now time.Time, reports bool) (n int) {
+		for range 100 {
+			now = now.Add(100 * time.Millisecond)
+			if reports {
+				b.Alive(now)
+			}
+			if b.Take(now) {
+				n++
+			}
+		}
+		return n
+	}
+	var reported, silent, outage Budget
+	if n := attempts(&reported, spent(&reported), true); n < 8 || n > 10 {
+		t.Errorf("%d attempts in 10 s while servers report, want one a second", n)
+	}
+	if n := attempts(&silent, spent(&silent), false); n != 0 {
+		t.Errorf("%d attempts while nothing is known of the servers", n)
+	}
+	now := spent(&outage)
+	for _, server := range []string{"a", "b", "c"} {
+		outage.Failure(now, server)
+	}
+	if n := attempts(&outage, now, true); n != 0 {
+		t.Errorf("%d attempts in an outage", n)
+	}
+	// However long the fleet was idle, no more than the reserve is there.
+	var idle Budget
+	now = spent(&idle).Add(time.Hour)
+	idle.Alive(now)
+	if c := idle.Credit(now.Add(time.Second)); c > minReserve {
+		t.Errorf("%.1f attempts after an hour", c)
+	}
+}
+
 // Guards against a hedge after the first token, a second hedge, and hedges
 // outside the budget.
 func TestHedge(t *testing.T) {
