--- a/node/proof/servers_test.go
+++ b/node/proof/servers_test.go
@@ -190,7 +190,6 @@
 // Guards against new work on a server that is leaving, and against a list that
 // lags: a dead server that is still on it and an instance that is not yet.
 func TestLeavingServer(t *testing.T) {
-	knownRed(t)
 	t.Parallel()
 	f := start(t, development.Options{Instances: 4, Servers: 12})
 	f.Set.List.SetFaults(list.Faults{ArrivalLag: kit.Duration(time.Second), DepartureLag: kit.Duration(500 * time.Millisecond)})
