node/relay: an outcome that a peer may have brought about is not reported as without effect

Cause: found by reading. When the own path was lost or slow, the error of the own path replaced that of the peers: an append that a peer had made, its answer lost, was reported as refused without effect after the own path refused it. A submission would have been answered 503, not run, although its acceptance stands. The new test fails on the code before (1 record appended, unavailable).

Change: the error of a call is the one of all its paths that promises least.

--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -279,6 +279,24 @@
 	}
 }
 
+// Guards against a promise of no effect, on which a job is refused as not run, for an
+// append that a peer may have made before the own path refused it.
+func TestPeersOutcomeIsNotForgotten(t *testing.T) {
+	store := &log{}
+	a, b := start(t, "a", store), start(t, "b", store)
+	a.hears(b)
+	a.path.set(refuses)
+	if _, err := a.Append(limited(t), topic, [][]byte{[]byte("x")}); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the loss is not noticed", func() bool { return !a.Reaches() })
+	b.path.set(loses)
+	before := len(store.records)
+	if _, err := a.Append(limited(t), topic, [][]byte{[]byte("y")}); !errors.Is(err, port.ErrOutcomeUnknown) || errors.Is(err, port.ErrUnavailable) {
+		t.Fatalf("%d records were appended, and the error is %v", len(store.records)-before, err)
+	}
+}
+
 // Guards against an instance that takes the store for lost, and its peers for useless,
 // because the store refuses one partition.
 func TestOnePartitionIsAway(t *testing.T) {
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -138,17 +138,20 @@
 }
 
 // route makes a call on the own path and, when that fails or is slow, through peers.
-// The store may keep the call waiting for wait.
+// The store may keep the call waiting for wait. When no path answers, the error is the
+// one that promises least.
 func route[T any](
 	ctx context.Context, s *Store, wait time.Duration,
 	own func(context.Context) (T, error), through func(context.Context, peerpb.DRPCStoreClient) (T, error),
 ) (T, error) {
 	if !s.Reaches() {
-		if value, err, asked := detour(ctx, s, wait, through); asked && answered(err) {
-			return value, err
+		value, detoured := detour(ctx, s, wait, through)
+		if answered(detoured) {
+			return value, detoured
 		}
 		// No peer helps: the own path may work again.
-		return direct(ctx, s, wait, own)
+		value, err := direct(ctx, s, wait, own)
+		return value, unlessAnswered(err, detoured)
 	}
 	done := make(chan result[T], 1)
 	go func() {
@@ -162,20 +165,28 @@
 		if answered(r.err) || ctx.Err() != nil {
 			return r.value, r.err
 		}
-		value, err, asked := detour(ctx, s, wait, through)
-		if asked && answered(err) {
-			return value, err
-		}
-		return value, worse(r.err, err)
+		value, detoured := detour(ctx, s, wait, through)
+		return value, unlessAnswered(detoured, r.err)
 	case <-slow.C:
 		s.doubt()
 	}
-	if value, err, asked := detour(ctx, s, wait, through); asked && answered(err) {
-		return value, err
+	value, detoured := detour(ctx, s, wait, through)
+	if answered(detoured) {
+		return value, detoured
 	}
-	// No peer helps: the own path may only have been slow.
-	r := <-done // it ends with ctx or with the client's own limit
-	return r.value, r.err
+	// No peer helps: the own path may only have been slow. Its call ends with ctx or with
+	// the client's own limit.
+	r := <-done
+	return r.value, unlessAnswered(r.err, detoured)
+}
+
+// unlessAnswered returns the last error of a call, made worse by the one of an earlier
+// path unless the store answered.
+func unlessAnswered(last, earlier error) error {
+	if answered(last) {
+		return last
+	}
+	return worse(last, earlier)
 }
 
 // answered reports whether the store answered, even if not with what was asked for.
@@ -187,7 +198,7 @@
 // worse returns the error that promises less: a call that may have taken effect on one
 // path may have taken effect.
 func worse(a, b error) error {
-	if b == nil || errors.Is(a, port.ErrOutcomeUnknown) || !errors.Is(b, port.ErrOutcomeUnknown) {
+	if errors.Is(a, port.ErrOutcomeUnknown) || !errors.Is(b, port.ErrOutcomeUnknown) {
 		return a
 	}
 	return b
@@ -239,21 +250,23 @@
 	}
 }
 
-// detour makes a call through peers, one after the other. Asked is false when there
-// is none to ask.
+// errNoPeer says that there is no peer to ask.
+var errNoPeer = fmt.Errorf("%w: no peer reaches the store", port.ErrUnavailable)
+
+// detour makes a call through peers, one after the other.
 func detour[T any](
 	ctx context.Context, s *Store, wait time.Duration, through func(context.Context, peerpb.DRPCStoreClient) (T, error),
-) (value T, err error, asked bool) {
+) (value T, err error) {
+	err = errNoPeer
 	for _, p := range s.choose() {
 		if ctx.Err() != nil {
 			break
 		}
 		var next error
 		value, next = call(ctx, s, p, wait, through)
-		asked = true
 		s.counts.Add("through_peer", 1)
 		if answered(next) {
-			return value, next, true
+			return value, next
 		}
 		klog.InfoS("call to the store through a peer failed", "peer", p.Name, "err", next)
 		s.counts.Add("through_peer_failed", 1)
@@ -267,7 +280,7 @@
 		}
 		err = worse(next, err)
 	}
-	return value, err, asked
+	return value, err
 }
 
 // pathFailed reports whether a peer could not help, rather than the store through it.
