--- a/policy/balance/doc.go
+++ b/policy/balance/doc.go
@@ -1,4 +1,4 @@
-// Package balance chooses the serverState server for a request from what one instance
+// Package balance chooses the backend server for a request from what one instance
 // knows: its own requests in flight, those that its peers state, and how each
 // server has answered lately.
 //
