Heartbeats are decoded once, items scheduled on changes, a log line when a server is picked

Cause: each instance decoded every heartbeat of every server, copied all open jobs 25 times a second, and wrote nothing about a request before its end, so that requests in flight left no line when their instance died.

Change: a server's entry that differs in its sequence number only is not decoded again. The runner looks at open jobs when the index changes or every 200 ms, and copies the items of jobs that it holds. 'server picked', 'item started' and 'job submission received' name the id, the server, who picked it and on what.

--- a/cmd/jacinthnotchd/serve.go
+++ b/cmd/jacinthnotchd/serve.go
@@ -61,7 +61,7 @@
 		NewFeeds: func(s port.Store) serve.Feeds {
 			return serve.Feeds{
 				Config:    platform.NewFeed(s, platform.ConfigTopic, platform.DecodeRevision, nil),
-				Servers:   platform.NewFeed(s, platform.ServersTopic, platform.DecodeServer, nil),
+				Servers:   platform.NewFeed(s, platform.ServersTopic, platform.NewServerDecoder().Decode, nil),
 				Instances: platform.NewFeed(s, platform.KeyedTopic(instancesTopic), decodeInstance, encodeInstance),
 			}
 		},
--- a/domain/joblog/table.go
+++ b/domain/joblog/table.go
@@ -38,13 +38,15 @@
 // use.
 type Table struct {
 	jobs map[string]*Job
+	// open holds the jobs with unfinished items.
+	open map[string]*Job
 	// Ignored counts the records that had no effect.
 	Ignored int64
 	next    int64
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{jobs: map[string]*Job{}} }
+func NewTable() *Table { return &Table{jobs: map[string]*Job{}, open: map[string]*Job{}} }
 
 // Next returns the offset of the next record to apply.
 func (t *Table) Next() int64 { return t.next }
@@ -62,6 +64,13 @@
 	}
 }
 
+// ForEachOpen calls f for each open job.
+func (t *Table) ForEachOpen(f func(*Job)) {
+	for _, j := range t.open {
+		f(j)
+	}
+}
+
 // Apply applies the record at offset and returns the job that changed, or nil. It skips
 // a record before Next, which has been applied already, and ignores a record that
 // cannot be decoded.
@@ -81,6 +90,11 @@
 		return nil
 	}
 	j.UpdatedAt = now
+	if j.Open() {
+		t.open[j.Job] = j
+	} else {
+		delete(t.open, j.Job)
+	}
 	return j
 }
 
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -24,6 +24,8 @@
 	runTimeSmoothing = 0.05
 	// initialRunTime is the assumed run time until a run has been measured.
 	initialRunTime = 500 * time.Millisecond
+	// ownView is the picker of a server that an instance picks by its own view.
+	ownView = "own view"
 	// hubTotalName is the peer name in the table for the load of all other instances that
 	// a hub reports. No instance has this name.
 	hubTotalName = ""
@@ -191,9 +193,13 @@
 // End must be called exactly once.
 type Lease struct {
 	balance.Choice
-	view  *View
-	class balance.Class
-	start time.Time
+	// Picker says who picked the server, for the log: the name of the hub, or the instance's
+	// own view.
+	Picker string
+	view   *View
+	class  balance.Class
+	start  time.Time
+	ended  bool
 }
 
 // Pick picks a server for a request and counts the request in flight there. It returns
@@ -208,7 +214,7 @@
 	}
 	v.table.RequestStarted(choice.Server.ID, q.Class)
 	v.notifyLoadChange()
-	return &Lease{Choice: choice, view: v, class: q.Class, start: now}, true
+	return &Lease{Choice: choice, Picker: ownView, view: v, class: q.Class, start: now}, true
 }
 
 // End records how the request ended.
@@ -216,6 +222,10 @@
 	now := time.Now()
 	l.view.mu.Lock()
 	defer l.view.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.ended = true
 	l.view.table.RequestEnded(now, l.Server.ID, l.class, outcome)
 	l.view.notifyLoadChange()
 	if outcome == balance.Answered && l.class == balance.Online {
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -168,6 +168,8 @@
 	c.sentCount++
 	c.tried[lease.Server.ID] = true
 	c.servers = append(c.servers, lease.Server.ID)
+	klog.InfoS("server picked", "id", c.request.ID, "server", lease.Server.ID, "by", lease.Picker, "attempt", c.sentCount, "busy", lease.InFlight,
+		"slots", lease.Slots, "serversAge", c.gateway.View.ServersAge())
 	timer := c.startResponseTimer(cancel)
 	defer timer.Stop()
 	start := time.Now()
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -139,6 +139,8 @@
 	}
 	item := &items[run.index]
 	run.fromStart = !run.hasOutput
+	klog.InfoS("item started", "id", item.ID, "job", run.job, "item", run.index, "server", lease.Server.ID, "by", lease.Picker,
+		"busy", lease.InFlight, "slots", lease.Slots, "after", run.lastEvent)
 	sendCtx, cancelSend := context.WithCancelCause(ctx)
 	defer cancelSend(nil)
 	eventTimer := time.AfterFunc(firstEventTimeout, func() { cancelSend(errEventTimeout) })
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/leastslack"
 	"github.com/jacinthnotch/jacinthnotch/policy/takeover"
@@ -23,6 +24,9 @@
 const (
 	// scheduleInterval is the time between scheduling passes.
 	scheduleInterval = 40 * time.Millisecond
+	// idleScheduleInterval is the time between scheduling passes of an instance that holds
+	// no jobs, in which it looks for jobs whose holder is lost.
+	idleScheduleInterval = 200 * time.Millisecond
 	// maxStartsPerPass is the maximum number of items started in one scheduling pass.
 	maxStartsPerPass = 8
 	// onlineHeadroom is the number of slots of each server that items leave free for
@@ -114,38 +118,43 @@
 
 // Run schedules items until ctx is done and then waits for their runs to end.
 func (r *Runner) Run(ctx context.Context) {
-	ticker := time.NewTicker(scheduleInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(scheduleInterval)
+	defer timer.Stop()
 	defer r.runs.Wait()
 	for {
+		changed, _ := r.Index.Read(func(*joblog.Table) {})
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-r.wakeups:
+		case <-changed:
+		}
+		guard.Run("scheduling of items", func() { r.schedule(ctx) })
+		if r.holdsJobs() {
+			timer.Reset(scheduleInterval)
+		} else {
+			timer.Reset(idleScheduleInterval)
 		}
-		r.schedule(ctx)
 	}
 }
 
+// holdsJobs reports whether this instance holds jobs or still runs items of others.
+func (r *Runner) holdsJobs() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.jobs) > 0
+}
+
 // schedule makes one scheduling pass: it cancels runs that are no longer needed, claims
 // jobs and starts items on free slots.
 func (r *Runner) schedule(ctx context.Context) {
 	now := time.Now()
-	var jobs []joblog.Job
-	r.Index.Read(func(t *joblog.Table) {
-		t.ForEach(func(j *joblog.Job) {
-			if j.Open() || r.tracks(j.Job) {
-				snapshot := *j
-				snapshot.Items = slices.Clone(j.Items)
-				jobs = append(jobs, snapshot)
-			}
-		})
-	})
 	alive := r.Members.Alive()
+	jobs := r.snapshot()
 	r.mu.Lock()
 	for _, claim := range r.update(now, jobs, alive) {
-		r.runs.Go(func() { r.writeClaim(ctx, claim) })
+		r.runs.Go(func() { guard.Run("claim of a job", func() { r.writeClaim(ctx, claim) }) })
 	}
 	candidates, allowed := r.startable(now), min(maxStartsPerPass, maxRunningItems-r.running)
 	r.mu.Unlock()
@@ -169,10 +178,34 @@
 	}
 }
 
-func (r *Runner) tracks(job string) bool {
+// snapshot returns the open jobs and those that this instance has a state of. The items
+// are copied only for jobs that this instance holds or has a state of, and only if the job
+// has changed since the last snapshot.
+func (r *Runner) snapshot() []joblog.Job {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.jobs[job] != nil
+	var jobs []joblog.Job
+	r.Index.Read(func(t *joblog.Table) {
+		t.ForEachOpen(func(j *joblog.Job) {
+			job := *j
+			js := r.jobs[j.Job]
+			switch {
+			case js != nil && js.job.UpdatedAt.Equal(j.UpdatedAt):
+				job.Items = js.job.Items
+			case js != nil || j.Holder == r.Self:
+				job.Items = slices.Clone(j.Items)
+			}
+			jobs = append(jobs, job)
+		})
+		for id := range r.jobs {
+			if j := t.Job(id); j != nil && !j.Open() {
+				job := *j
+				job.Items = slices.Clone(j.Items)
+				jobs = append(jobs, job)
+			}
+		}
+	})
+	return jobs
 }
 
 // update brings the job states up to date with the index, cancels runs of items that
@@ -298,7 +331,23 @@
 	ctx, run.cancel = context.WithCancelCause(ctx)
 	r.running++
 	accepted, progress, route := c.job.Accepted, c.job.Items[c.index].Progress, c.route
-	r.runs.Go(func() { r.execute(ctx, run, &accepted, progress, route, lease) })
+	r.runs.Go(func() {
+		if !guard.Run("run of an item", func() { r.execute(ctx, run, &accepted, progress, route, lease) }) {
+			r.abandon(run, lease)
+		}
+	})
+}
+
+// abandon ends a run that panicked.
+func (r *Runner) abandon(run *itemRun, lease *fleet.Lease) {
+	lease.End(balance.Abandoned)
+	run.cancel(nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run.active, run.saving, run.server = false, false, ""
+	run.interruptions++
+	run.notBefore = time.Now().Add(failedRetryDelay << min(run.interruptions-1, maxRetryDoublings))
+	r.running--
 }
 
 // PreemptItem stops the most recently started item on a server to free its slot. It skips
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -146,6 +146,7 @@
 		s.refuse(w, call, http.StatusServiceUnavailable, "the store is away, outlook "+reachability.String(), nil)
 		return
 	}
+	klog.InfoS("job submission received", "job", call.Job, "items", len(items))
 	// The outcome does not depend on whether the caller stays connected.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), storeWriteTimeout)
 	defer cancel()
--- a/node/peers/place.go
+++ b/node/peers/place.go
@@ -52,6 +52,9 @@
 func (g *Group) placeAsHub(q balance.Query) (*fleet.Lease, bool) {
 	q.CompleteView = true
 	lease, ok := g.opt.View.Pick(q)
+	if ok {
+		lease.Picker = g.opt.Name
+	}
 	if ok && lease.Preempt && q.Class == balance.Online {
 		g.mu.Lock()
 		g.lastSequence++
@@ -118,7 +121,9 @@
 	lease, ok := g.opt.View.AcceptPick(server, q)
 	delete(g.pending, reply.Sequence)
 	g.mu.Unlock()
-	if !ok && reply.Server != 0 {
+	if ok {
+		lease.Picker = hub.name
+	} else if reply.Server != 0 {
 		g.finishRequest(hub, reply.Sequence, true)
 	}
 	return lease
