node/director, node/follower: items that name an adapter, pulls in progress, edits judged behind the log

Causes: an item's model name went into the routing request as a model, so that no server was eligible for the name of an adapter and a job for audit-hu stayed at 0 of 50. A scheduler ended while a pull was in progress, so that the pulled items entered a queue that nothing read. TestEdits expected two records, but an instance that has not read revision 2 yet appends its stale edit, which readers ignore: the trace shows b judging revision 1. The test now waits until b has read it and still expects two records; TestEditsThroughTwoInstancesAtOnce checks the race itself: one accepted, one stale, same state.

--- a/node/development/e2e_test.go
+++ b/node/development/e2e_test.go
@@ -106,8 +106,10 @@
 	return response{resp.StatusCode, resp.Header, string(text)}, err
 }
 
-func chatBody(prompt string, stream bool) string {
-	text, _ := json.Marshal(map[string]any{"model": "letters-7b", "stream": stream, "max_tokens": 16,
+func chatBody(prompt string, stream bool) string { return chatBodyFor("letters-7b", prompt, stream) }
+
+func chatBodyFor(model, prompt string, stream bool) string {
+	text, _ := json.Marshal(map[string]any{"model": model, "stream": stream, "max_tokens": 16,
 		"messages": []map[string]string{{"role": "user", "content": prompt}}})
 	return string(text)
 }
@@ -179,6 +181,12 @@
 
 // submit uploads items and creates a job. The engines refuse the last two items.
 func submit(t *testing.T, address, name string, items int) job {
+	t.Helper()
+	return submitFor(t, address, "letters-7b", name, items)
+}
+
+// submitFor is submit for the name of a model or adapter.
+func submitFor(t *testing.T, address, model, name string, items int) job {
 	t.Helper()
 	j := job{}
 	var lines bytes.Buffer
@@ -187,7 +195,7 @@
 		if i >= items-2 {
 			prompt += " " + engine.RefuseMark
 		}
-		body := chatBody(prompt, false)
+		body := chatBodyFor(model, prompt, false)
 		j.bodies = append(j.bodies, body)
 		fmt.Fprintf(&lines, `{"custom_id":"%s-%d","method":"POST","url":"/v1/chat/completions","body":%s}`+"\n", name, i, body)
 	}
@@ -279,6 +287,29 @@
 	}
 }
 
+// Guards against a job that never makes progress, because its items name an adapter and are
+// scheduled as if it were a model of its own. Each name that callers are told of must do.
+func TestJobForEachModel(t *testing.T) {
+	f := startFleet(t, Options{Instances: 3, Servers: 4})
+	address := f.Members()[0].CallersAddress()
+	var models struct {
+		Data []struct {
+			ID string `json:"id"`
+		} `json:"data"`
+	}
+	r := send(t, "GET", address, "/v1/models", "")
+	if err := json.Unmarshal([]byte(r.body), &models); err != nil || len(models.Data) < 2 {
+		t.Fatalf("models: %v, %+v", err, r)
+	}
+	var jobs []job
+	for _, m := range models.Data {
+		jobs = append(jobs, submitFor(t, address, m.ID, m.ID, 50))
+	}
+	for i, m := range models.Data {
+		jobs[i].checkOutcomes(t, f, address, m.ID)
+	}
+}
+
 // Guards against a job that does not survive the loss of an instance that owns
 // partitions and schedules items on servers.
 func TestInstanceKilledDuringJob(t *testing.T) {
--- a/node/director/item.go
+++ b/node/director/item.go
@@ -117,7 +117,7 @@
 		return true
 	}
 	fp := string(ident.Fingerprint(http.MethodPost, it.Endpoint, it.body))
-	req := it.routeRequest()
+	req := sched.routeRequest(it)
 	d, result := sched.group.DispatchTo(sched.server.ID, req, fp)
 	switch result {
 	case servers.Picked:
--- a/node/director/scheduler.go
+++ b/node/director/scheduler.go
@@ -80,7 +80,9 @@
 	defer tick.Stop()
 	for {
 		if !sched.isDirected() {
-			if sched.returnQueue() == 0 {
+			// A pull in progress adds items to the queue before it ends.
+			pulling := sched.isPulling()
+			if sched.returnQueue() == 0 && !pulling {
 				return
 			}
 		} else {
@@ -95,6 +97,12 @@
 	}
 }
 
+func (sched *serverScheduler) isPulling() bool {
+	sched.mu.Lock()
+	defer sched.mu.Unlock()
+	return sched.pulling
+}
+
 func (sched *serverScheduler) isDirected() bool {
 	p := sched.director.pool
 	return p.Directs(sched.server.ID) && p.Server(sched.server.ID) == sched.server && !sched.director.isDraining()
@@ -352,9 +360,13 @@
 	sched.mu.Unlock()
 }
 
-// routeRequest returns the routing request of an item.
-func (it *item) routeRequest() *route.Request {
-	r := &route.Request{Model: it.model, PromptTokens: it.parsed.PromptTokens, OutputTokens: it.parsed.OutputTokens,
+// routeRequest returns the routing request of an item, whose model may be an adapter.
+func (sched *serverScheduler) routeRequest(it *item) *route.Request {
+	target, known := sched.director.pool.Target(it.model)
+	if !known {
+		target.Model = it.model
+	}
+	r := &route.Request{Model: target.Model, Adapter: target.Adapter, PromptTokens: it.parsed.PromptTokens, OutputTokens: it.parsed.OutputTokens,
 		Prefix: it.parsed.PrefixHash, PrefixTokens: it.parsed.PrefixTokens, Batch: true}
 	return r
 }
--- a/node/follower/follower_test.go
+++ b/node/follower/follower_test.go
@@ -96,6 +96,7 @@
 		if r := a.Apply(ctx, edit(1, "70")); r.State != EditAccepted || r.Revision != 2 {
 			t.Fatalf("edit with a lost response: %+v", r)
 		}
+		synctest.Wait() // b has read the revision, so that it refuses the edit without an append
 		r := b.Apply(ctx, edit(1, "80"))
 		if r.State != EditStale || r.Current.Revision != 2 {
 			t.Fatalf("edit based on an old revision: %+v", r)
@@ -121,6 +122,38 @@
 	})
 }
 
+// Guards against an edit that takes effect although another one came first, because the
+// instance that judges it has not read that one yet. Its record may reach the log, where
+// all readers ignore it.
+func TestEditsThroughTwoInstancesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet()
+		a, b := f.add(ctx, "a"), f.add(ctx, "b")
+		time.Sleep(time.Second)
+		importSample(t, a)
+		synctest.Wait()
+		results := make(chan EditResult, 2)
+		for follower, weight := range map[*Follower]string{a: "70", b: "80"} {
+			go func() { results <- follower.Apply(ctx, edit(1, weight)) }()
+		}
+		states := map[EditState]int{(<-results).State: 1}
+		states[(<-results).State]++
+		if states[EditAccepted] != 1 || states[EditStale] != 1 {
+			t.Errorf("results of two edits of one revision: %v", states)
+		}
+		synctest.Wait()
+		va, vb := a.View(), b.View()
+		if va.Revision != 2 || vb.Revision != 2 || va.Workspaces["reports"].Weight != vb.Workspaces["reports"].Weight {
+			t.Errorf("revisions %d and %d, weights %d and %d", va.Revision, vb.Revision, va.Workspaces["reports"].Weight, vb.Workspaces["reports"].Weight)
+		}
+		if n := a.recordCount(); n > 3 {
+			t.Errorf("%d records after an import and two edits", n)
+		}
+	})
+}
+
 func (f *Follower) recordCount() int { return f.opts.Log.(*fakelog.Log).Len(Stream) }
 
 // Guards against an instance that starts while the log is down and becomes ready without
