Limit on the tokens that wait on a batch route

Cause: a route may bear a limit on the waiting tokens of all callers together (the platform's cap); the code knew nothing of it, so that a burst of jobs would break it.

Change: domain/joblog sums the waiting tokens by route from the records. policy/quota decides: far below the limit each instance accepts within its share of the distance to a soft limit (0.3 of it) on a sum that is at most 0.9 s old; above it, the acceptance record is appended on the condition that the index ends where the sum was read (port.Store.AppendAt), and room is left for shares that others may still use. 429 with the time in which the excess is likely to be finished where the job does not fit, 503 where it fits unless others use their shares; neither after an append whose outcome is unknown. Metric waiting_tokens; one log line a refusal with sum, age and limit.

Weighed: a share for each instance that follows demand (bound 1.5 times the limit, since shares are taken on sums of different age); refusal on the folded sum alone (no bound in a burst); acceptance records that take effect only if they fit at their place in the log (exact, but instances that started after older records expired would judge differently, and a repeated append of a refused job could take effect later). Conditional appends alone: exact, but they exclude each other while the store is slow (40 appends a second x 240 ms).

--- a/domain/joblog/record.go
+++ b/domain/joblog/record.go
@@ -29,6 +29,9 @@
 	// Host and Path are those of the submission; they select the job's route.
 	Host string `json:"host"`
 	Path string `json:"path"`
+	// Route is the name of the route at the time of the acceptance. The limit on waiting
+	// tokens counts the job on it.
+	Route string `json:"route,omitempty"`
 	// Items is the number of items.
 	Items int `json:"items"`
 	// Tokens are the sizes of the items as stated in the submission.
--- a/domain/joblog/table.go
+++ b/domain/joblog/table.go
@@ -31,7 +31,7 @@
 	if item >= len(a.Tokens) {
 		return 0
 	}
-	return a.Tokens[item]
+	return max(0, a.Tokens[item])
 }
 
 // Table holds the jobs that the applied records describe. It is not safe for concurrent
@@ -40,13 +40,17 @@
 	jobs map[string]*Job
 	// open holds the jobs with unfinished items.
 	open map[string]*Job
+	// waiting holds the sums of tokens by route.
+	waiting map[string]*Waiting
 	// Ignored counts the records that had no effect.
 	Ignored int64
 	next    int64
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{jobs: map[string]*Job{}, open: map[string]*Job{}} }
+func NewTable() *Table {
+	return &Table{jobs: map[string]*Job{}, open: map[string]*Job{}, waiting: map[string]*Waiting{}}
+}
 
 // Next returns the offset of the next record to apply.
 func (t *Table) Next() int64 { return t.next }
@@ -119,17 +123,71 @@
 			return nil
 		}
 		j.Ended = true
+		for i := range j.Items {
+			if !j.Items[i].HasResult {
+				t.removeWaiting(j, i)
+			}
+		}
 		return j
 	}
 	return nil
 }
 
+// Waiting is the sum of the tokens of the unfinished items of jobs on a route.
+type Waiting struct {
+	// Tokens is the sum now, and Lowest the lowest one since the last call of ResetLowest.
+	Tokens, Lowest int64
+	// Finished is the sum of the tokens of all items that do not wait any more.
+	Finished int64
+}
+
+// WaitingByRoute calls f with the sum of each route that ever had a job.
+func (t *Table) WaitingByRoute(f func(route string, w Waiting)) {
+	for route, w := range t.waiting {
+		f(route, *w)
+	}
+}
+
+// Waiting returns the sum of a route.
+func (t *Table) Waiting(route string) Waiting {
+	if w := t.waiting[route]; w != nil {
+		return *w
+	}
+	return Waiting{}
+}
+
+// ResetLowest makes the lowest sums of all routes begin at the present ones.
+func (t *Table) ResetLowest() {
+	for _, w := range t.waiting {
+		w.Lowest = w.Tokens
+	}
+}
+
+func (t *Table) addWaiting(j *Job) {
+	w := t.waiting[j.Route]
+	if w == nil {
+		w = &Waiting{}
+		t.waiting[j.Route] = w
+	}
+	for i := range j.Items {
+		w.Tokens += j.ItemTokens(i)
+	}
+}
+
+func (t *Table) removeWaiting(j *Job, item int) {
+	w := t.waiting[j.Route]
+	w.Tokens -= j.ItemTokens(item)
+	w.Finished += j.ItemTokens(item)
+	w.Lowest = min(w.Lowest, w.Tokens)
+}
+
 func (t *Table) addJob(now time.Time, a *Accepted) *Job {
 	if a.Job == "" || a.Items < 1 || a.Items > MaxItems || t.jobs[a.Job] != nil {
 		return nil
 	}
 	j := &Job{Accepted: *a, Items: make([]Item, a.Items), AcceptedAt: now.Add(-a.age(now))}
 	t.jobs[a.Job] = j
+	t.addWaiting(j)
 	return j
 }
 
@@ -153,6 +211,9 @@
 	}
 	j.Items[r.Item] = Item{HasResult: true}
 	j.Results = append(j.Results, r)
+	if !j.Ended {
+		t.removeWaiting(j, r.Item)
+	}
 	return j
 }
 
--- a/domain/joblog/table_test.go
+++ b/domain/joblog/table_test.go
@@ -18,7 +18,7 @@
 	holder := func(i int) Holder { return Holder{Instance: fmt.Sprint(i)} }
 	switch rapid.IntRange(0, 3).Draw(t, "kind") {
 	case 0:
-		return &Record{Accepted: &Accepted{Job: job, Items: 2 + n, Holder: holder(n)}}
+		return &Record{Accepted: &Accepted{Job: job, Items: 2 + n, Holder: holder(n), Route: "r", Tokens: []int64{5, -3, 7}}}
 	case 1:
 		return &Record{Result: &Result{Job: job, Item: item, ID: fmt.Sprint(item), State: Completed, Reason: fmt.Sprint(n)}}
 	case 2:
@@ -55,6 +55,7 @@
 					holders[r.Claimed.Job] = r.Claimed.To.Instance
 				}
 			}
+			checkWaiting(t, one)
 			one.ForEach(func(j *Job) {
 				seen := map[int]bool{}
 				for i, r := range j.Results {
@@ -82,6 +83,28 @@
 	})
 }
 
+// checkWaiting checks the sum of the waiting tokens against the items.
+func checkWaiting(t *rapid.T, table *Table) {
+	waiting, open := int64(0), 0
+	table.ForEach(func(j *Job) {
+		if j.Open() {
+			open++
+		}
+		for i := range j.Items {
+			if !j.Ended && !j.Items[i].HasResult {
+				waiting += j.ItemTokens(i)
+			}
+		}
+	})
+	if w := table.Waiting("r"); w.Tokens != waiting || w.Lowest > w.Tokens {
+		t.Fatalf("waiting %+v, want %d tokens", w, waiting)
+	}
+	table.ForEachOpen(func(*Job) { open-- })
+	if open != 0 {
+		t.Fatalf("%d more open jobs than listed", open)
+	}
+}
+
 // Guards against the table stopping at a record that cannot be decoded or at a gap left
 // by expired records.
 func TestApplyContinuesAfterBadRecords(t *testing.T) {
--- a/domain/serving/route.go
+++ b/domain/serving/route.go
@@ -72,6 +72,9 @@
 	// Retention is the time from the first submission of a job after which its items
 	// may be abandoned.
 	Retention time.Duration
+	// MaxWaitingTokens limits the tokens of the unfinished items of all jobs on a batch
+	// route, over all instances; zero means no limit.
+	MaxWaitingTokens int64
 }
 
 // Idempotent reports whether requests of the route may run more than once.
--- a/node/jobs/fixture_test.go
+++ b/node/jobs/fixture_test.go
@@ -187,6 +187,9 @@
 	store   *store.Store
 	server  *modelServer
 	members *members
+	// maxWaitingTokens is the limit on waiting tokens of the route at instances that are
+	// started later.
+	maxWaitingTokens int64
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -238,7 +241,7 @@
 	client := platform.NewStore(s.store.Address(), exchange.Dial)
 	view := fleet.NewView(rand.New(rand.NewPCG(uint64(incarnation), 2)))
 	view.ApplyServers([]port.Entry[serving.Server]{{Key: "s0", Value: &serving.Server{ID: "s0", Service: "svc", Address: s.server.listener.Addr().String(), Slots: 8}}}, true)
-	route := &serving.Route{Name: "batch", Host: testHost, PathPrefix: "/b/", Kind: serving.Batch, MaxAttempts: 3, DueAfter: time.Minute, Targets: []serving.Target{{Service: "svc", Weight: 1}}}
+	route := &serving.Route{Name: "batch", Host: testHost, PathPrefix: "/b/", Kind: serving.Batch, MaxAttempts: 3, DueAfter: time.Minute, MaxWaitingTokens: s.maxWaitingTokens, Targets: []serving.Target{{Service: "svc", Weight: 1}}}
 	revision := &serving.Revision{Version: 1, Routes: []*serving.Route{route}}
 	revision.Index()
 	view.ApplyConfig([]port.Entry[serving.Revision]{{Key: "c", Value: revision}}, true)
@@ -302,10 +305,13 @@
 	return response.StatusCode, raw
 }
 
+// tokensPerItem is the size of each item of a submission.
+const tokensPerItem = 100
+
 func submission(ids ...string) []byte {
 	var items []jobs.Item
 	for _, id := range ids {
-		items = append(items, jobs.Item{ID: id, Path: "/b/" + id, Body: []byte("body of " + id)})
+		items = append(items, jobs.Item{ID: id, Path: "/b/" + id, Body: []byte("body of " + id), Tokens: tokensPerItem})
 	}
 	raw, _ := json.Marshal(items)
 	return raw
--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/policy/quota"
 )
 
 const (
@@ -53,6 +54,8 @@
 	// currentAt is the time of the last read that reached the end of the index.
 	currentAt time.Time
 
+	admissions admissions
+
 	appends     chan *pendingAppend
 	storeHealth storeHealth
 }
@@ -64,7 +67,10 @@
 
 // NewIndex returns an index that has not read any records.
 func NewIndex(store port.Store) *Index {
-	return &Index{store: store, table: joblog.NewTable(), changed: make(chan struct{}), appends: make(chan *pendingAppend, maxAppendRecords)}
+	return &Index{
+		store: store, table: joblog.NewTable(), changed: make(chan struct{}), admissions: admissions{quota.NewTable()},
+		appends: make(chan *pendingAppend, maxAppendRecords),
+	}
 }
 
 // Follow reads the index and applies its records until ctx is done.
@@ -125,6 +131,7 @@
 	}
 	if x.table.Next() >= page.End {
 		x.currentAt = now
+		x.admissions.observe(now, x.table)
 	}
 	if len(page.Records) > 0 {
 		close(x.changed)
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/policy/pathselect"
+	"github.com/jacinthnotch/jacinthnotch/policy/quota"
 )
 
 const (
@@ -70,7 +71,7 @@
 	}
 	switch call.Kind {
 	case Submit:
-		s.handleSubmit(w, r, call)
+		s.handleSubmit(w, r, call, route)
 	case ReadResults:
 		s.handleReadResults(w, r, call)
 	case ReadItem:
@@ -83,12 +84,17 @@
 
 // refuse writes an error response and logs its cause.
 func (s *Service) refuse(w http.ResponseWriter, call Call, status int, cause string, err error) {
-	klog.InfoS("call about a job refused", "job", call.Job, "kind", call.Kind.String(), "status", status, "cause", cause, "err", err)
 	retryAfter := time.Duration(0)
 	if status == http.StatusServiceUnavailable {
 		retryAfter = storeRetryAfter
 	}
-	s.Refuse(w, status, retryAfter, cause)
+	s.writeRefusal(w, call, &refusal{status: status, retryAfter: retryAfter, cause: cause, err: err})
+}
+
+// writeRefusal writes an error response and logs its cause.
+func (s *Service) writeRefusal(w http.ResponseWriter, call Call, r *refusal) {
+	klog.InfoS("call about a job refused", "job", call.Job, "kind", call.Kind.String(), "status", r.status, "retryAfter", r.retryAfter, "cause", r.cause, "err", r.err)
+	s.Refuse(w, r.status, r.retryAfter, r.cause)
 }
 
 // lookUp returns a snapshot of a job, or nil if it is unknown, with a channel that is
@@ -117,7 +123,7 @@
 	return job, nil
 }
 
-func (s *Service) handleSubmit(w http.ResponseWriter, r *http.Request, call Call) {
+func (s *Service) handleSubmit(w http.ResponseWriter, r *http.Request, call Call, route *serving.Route) {
 	start := time.Now()
 	limit := int64(defaultMaxSubmissionBytes)
 	if revision := s.Revision(); revision != nil && revision.Limits.BodyBytes > 0 {
@@ -150,24 +156,52 @@
 	// The outcome does not depend on whether the caller stays connected.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), storeWriteTimeout)
 	defer cancel()
+	job := newLimitedJob(call.Job, route, items)
+	if job.limit > 0 {
+		if refused := s.checkLimit(ctx, job); refused != nil {
+			s.writeRefusal(w, call, refused)
+			return
+		}
+	}
 	record, err := s.writeContent(ctx, call, r, items)
 	if err != nil {
 		// No item runs without an acceptance record in the index.
 		s.refuse(w, call, http.StatusServiceUnavailable, "the store did not take the items", err)
 		return
 	}
-	if err := s.appendIdempotent(ctx, &joblog.Record{Accepted: record}); err != nil {
-		if noEffect(err) {
-			s.refuse(w, call, http.StatusServiceUnavailable, "the store did not take the job", err)
-			return
-		}
-		s.refuse(w, call, http.StatusGatewayTimeout, "the store may have taken the job", err)
+	if refused := s.appendAcceptance(ctx, job, record); refused != nil {
+		s.writeRefusal(w, call, refused)
 		return
 	}
 	klog.InfoS("job accepted", "job", call.Job, "items", len(items), "took", time.Since(start))
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// appendAcceptance appends the acceptance record of a job. It returns nil if the job is
+// accepted.
+func (s *Service) appendAcceptance(ctx context.Context, job limitedJob, record *joblog.Accepted) *refusal {
+	record.Route = job.key.Route
+	if job.limit > 0 {
+		return s.appendLimited(ctx, job, record)
+	}
+	if err := s.appendIdempotent(ctx, &joblog.Record{Accepted: record}); err != nil {
+		return storeRefusal(!noEffect(err), err)
+	}
+	return nil
+}
+
+// newLimitedJob returns a job with the limit of its route.
+func newLimitedJob(id string, route *serving.Route, items []Item) limitedJob {
+	job := limitedJob{id: id}
+	if route != nil {
+		job.key, job.limit = quota.Key{Route: route.Name}, route.MaxWaitingTokens
+	}
+	for i := range items {
+		job.tokens += max(0, items[i].Tokens)
+	}
+	return job
+}
+
 // writeContent writes the items to the store and returns the acceptance record.
 func (s *Service) writeContent(ctx context.Context, call Call, r *http.Request, items []Item) (*joblog.Accepted, error) {
 	content, err := encodeItems(items)
--- a/node/port/errors.go
+++ b/node/port/errors.go
@@ -15,6 +15,10 @@
 	// lost, so that it may or may not have taken effect.
 	ErrOutcomeUnknown = errors.New("port: outcome unknown, the answer was lost")
 
+	// ErrOffsetMismatch reports a conditional append that had no effect, because the
+	// partition ends at another offset.
+	ErrOffsetMismatch = errors.New("port: the partition ends at another offset")
+
 	// ErrTooLarge reports a payload above the limit of the platform.
 	ErrTooLarge = errors.New("port: payload too large")
 
--- a/node/port/store.go
+++ b/node/port/store.go
@@ -20,6 +20,10 @@
 	// offset of the first one.
 	Append(ctx context.Context, p Partition, records [][]byte) (first int64, err error)
 
+	// AppendAt is Append on the condition that the partition ends at the given offset.
+	// Otherwise it fails with ErrOffsetMismatch.
+	AppendAt(ctx context.Context, p Partition, offset int64, records [][]byte) error
+
 	// Read returns records of a partition, starting at offset from: about maxBytes
 	// at most, but at least one record if there is one. At the end of the partition
 	// it waits up to wait for the next record. A read below the retained range
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -105,6 +105,17 @@
 	return first, nil
 }
 
+func (p *fakePath) AppendAt(ctx context.Context, _ port.Partition, offset int64, records [][]byte) error {
+	if _, err := p.begin(ctx); err != nil {
+		return err
+	}
+	if offset != 7 {
+		return port.ErrOffsetMismatch
+	}
+	p.append(records)
+	return nil
+}
+
 func (p *fakePath) Read(ctx context.Context, at port.Partition, from int64, maxBytes int, wait time.Duration) (port.Page, error) {
 	if _, err := p.begin(ctx); err != nil {
 		return port.Page{}, err
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -104,6 +104,18 @@
 		})
 }
 
+// AppendAt implements port.Store. The call is made on the own path only and fails at once
+// while that is down: its caller has to read the partition again after each failure.
+func (s *Store) AppendAt(ctx context.Context, p port.Partition, offset int64, records [][]byte) error {
+	if !s.OwnPathUp() {
+		return fmt.Errorf("%w: the own path to the store is down", port.ErrUnavailable)
+	}
+	_, err := callOwnPath(ctx, s, 0, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, s.ownPath.AppendAt(ctx, p, offset, records)
+	})
+	return err
+}
+
 // Read implements port.Store.
 func (s *Store) Read(ctx context.Context, p port.Partition, from int64, maxBytes int, wait time.Duration) (port.Page, error) {
 	return callWithFallback(ctx, s, wait,
@@ -191,10 +203,10 @@
 }
 
 // answered reports whether err is a response of the store: success, or the statement that
-// records have expired.
+// records have expired or that a condition does not hold.
 func answered(err error) bool {
 	var expired *port.ExpiredError
-	return err == nil || errors.As(err, &expired)
+	return err == nil || errors.Is(err, port.ErrOffsetMismatch) || errors.As(err, &expired)
 }
 
 // lessCertain returns b if only b is ErrOutcomeUnknown, and a otherwise: a call that may
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -167,6 +167,7 @@
 	metrics := new(expvar.Map).Init()
 	metrics.Set("gateway", i.gateway.Metrics.Map())
 	metrics.Set("jobs", i.jobMetrics.Map())
+	metrics.Set("waiting_tokens", i.index.WaitingMetrics())
 	metrics.Set("store_calls", i.store.Map())
 	metrics.Set("panics", guard.Metrics())
 	metrics.Set("connections_opened", expvar.Func(func() any { return i.pool.Opened() }))
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -118,15 +118,25 @@
 // Put appends records, like a writer other than this project, and returns the offset of the
 // first one. Faults do not affect it.
 func (s *Store) Put(topic string, number int, records ...[]byte) int64 {
+	offset, _ := s.putAt(port.Partition{Topic: topic, Number: number}, "", records)
+	return offset
+}
+
+// putAt appends records on the condition that the partition ends at the offset at, if there
+// is one. It returns the offset of the first record or, if it returns false, the end.
+func (s *Store) putAt(key port.Partition, at string, records [][]byte) (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.partition(port.Partition{Topic: topic, Number: number})
-	offset := p.first + int64(len(p.records))
+	p := s.partition(key)
+	end := p.first + int64(len(p.records))
+	if at != "" && at != strconv.FormatInt(end, 10) {
+		return end, false
+	}
 	for _, r := range records {
 		p.records = append(p.records, slices.Clone(r))
 	}
 	s.notify()
-	return offset
+	return end, true
 }
 
 // DeleteBefore deletes the records of a partition before an offset, as if they had expired.
@@ -200,7 +210,8 @@
 		return
 	}
 	key := requestedPartition(r)
-	apply := func() int64 { return s.Put(key.Topic, key.Number, records...) }
+	// The condition of an append is checked when it takes effect.
+	apply := func() (int64, bool) { return s.putAt(key, r.URL.Query().Get(platform.QueryAt), records) }
 	switch fault {
 	case Unavailable:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -215,7 +226,11 @@
 		s.mu.Unlock()
 		resetConnection(w)
 	default:
-		offset := apply()
+		offset, ok := apply()
+		if !ok {
+			writeJSON(w, http.StatusPreconditionFailed, platform.AppendResponse{EndOffset: offset})
+			return
+		}
 		writeJSON(w, http.StatusOK, platform.AppendResponse{Offset: &offset, EndOffset: offset + int64(len(records))})
 	}
 }
