--- a/cmd/jnctl/explain_test.go
+++ b/cmd/jnctl/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"strings"
 	"testing"
 )
@@ -39,3 +40,12 @@
 		t.Errorf("exit %d for an id that no line mentions", code)
 	}
 }
+
+// FuzzExplain guards against a panic on log lines that are malformed or cut off.
+func FuzzExplain(f *testing.F) {
+	f.Add([]byte("I1204 15:44:44.429030 7 hub.go:84] \"request\" id=\"abc\" status=200\n"), "abc")
+	f.Add([]byte("I9999 99:99:99.999999 \"start\"\nI12"), "")
+	f.Fuzz(func(_ *testing.T, raw []byte, id string) {
+		_, _ = explain(io.Discard, "log", bytes.NewReader(raw), id)
+	})
+}
--- a/cmd/jnctl/standin.go
+++ b/cmd/jnctl/standin.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/jacinthnotch/jacinthnotch/standin/engine"
+	"github.com/jacinthnotch/jacinthnotch/standin/faulty"
 	"github.com/jacinthnotch/jacinthnotch/standin/list"
 	"github.com/jacinthnotch/jacinthnotch/standin/log"
 	"github.com/jacinthnotch/jacinthnotch/standin/plain"
@@ -21,6 +22,7 @@
 	Engine  engineStandinCmd  `cmd:"" help:"Stand-in for a model engine."`
 	Weights weightsStandinCmd `cmd:"" help:"Stand-in for the weight store."`
 	Plain   plainStandinCmd   `cmd:"" help:"Stand-in for a server of a plain HTTP service."`
+	Faulty  faultyStandinCmd  `cmd:"" help:"Stand-in for a backend server whose answers break the rules of HTTP."`
 
 	EnterInstance enterInstanceCmd `cmd:"" help:"Add an instance to a stand-in for the list, as the platform does in a deployment."`
 	EnterServer   enterServerCmd   `cmd:"" help:"Add a backend server to a stand-in for the list."`
@@ -99,3 +101,11 @@
 
 // Run serves the plain service.
 func (c *plainStandinCmd) Run() error { return c.run("plain", plain.New(c.Options, c.Faults)) }
+
+type faultyStandinCmd struct {
+	standinFlags
+	faulty.Options
+}
+
+// Run serves the faulty answers.
+func (c *faultyStandinCmd) Run() error { return c.run("faulty", faulty.New(c.Options)) }
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -100,19 +100,31 @@
 
 func (p *Pool) roundTrip(ctx context.Context, c *conn, r *Request, parseHeaders HeaderParser) (*Response, error) {
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
+	reused := c.used
+	c.used = true
 	bodyWritten, err := send(c, r)
 	if err != nil {
 		stopCancel()
 		return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
 	}
-	for range maxStaleResponses {
+	for stale := range maxStaleResponses {
 		response, err := readHead(c, r.Method)
 		if err != nil {
 			stopCancel()
+			if errors.Is(err, errHeadTooLarge) {
+				p.recordFault(faultHeadTooLarge, c)
+			}
 			return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
 		}
 		id, idle := parseHeaders(response.StatusCode, response.Header)
+		if id == "" && r.ID != "" && reused {
+			// It may be a late copy of the response to an earlier request.
+			stopCancel()
+			p.recordFault(faultUnidentified, c)
+			return nil, fmt.Errorf("%w: the response on a reused connection names no request", ErrIncomplete)
+		}
 		if id != "" && r.ID != "" && id != r.ID && response.StatusCode != http.StatusBadRequest {
+			p.recordFault(faultStaleResponse, c)
 			if err := discard(response); err != nil {
 				stopCancel()
 				return nil, fmt.Errorf("%w: after a response to another request: %w", ErrIncomplete, err)
@@ -121,7 +133,7 @@
 		}
 		return &Response{
 			Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, body: response.Body,
-			conn: c, pool: p, keepAlive: !response.Close, bodyWritten: bodyWritten, stopCancel: stopCancel, idleTimeout: idle,
+			conn: c, pool: p, keepAlive: !response.Close && stale == 0, bodyWritten: bodyWritten, stopCancel: stopCancel, idleTimeout: idle,
 		}, nil
 	}
 	stopCancel()
@@ -156,19 +168,6 @@
 	return bodyWritten, nil
 }
 
-// readHead reads the head of the next final response and drops interim (1xx) ones.
-func readHead(c *conn, method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
 // discard reads a response to another request to its end.
 func discard(response *http.Response) error {
 	if response.Close {
@@ -205,6 +204,9 @@
 	c := r.conn
 	r.conn = nil
 	open := r.stopCancel()
+	if r.complete && c.reader.Buffered() > 0 {
+		r.pool.recordFault(faultBytesAfterResponse, c)
+	}
 	if !open || !r.complete || !r.keepAlive || !r.sent() || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return
--- /dev/null
+++ b/node/exchange/head.go
@@ -0,0 +1,53 @@
+package exchange
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// maxHeadBytes limits the head of a response together with the interim ones before it.
+const maxHeadBytes = 64 << 10
+
+var errHeadTooLarge = fmt.Errorf("exchange: the head of a response has more than %d bytes", maxHeadBytes)
+
+// headLimiter reads from a connection. It limits the number of bytes while a head is being
+// read, because a faulty server may send bytes without end.
+type headLimiter struct {
+	source io.Reader
+	// active is set while the limit applies, and left is what may still be read then.
+	active bool
+	left   int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.active {
+		return l.source.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// readHead reads the head of the next final response and drops interim (1xx) ones.
+func readHead(c *conn, method string) (*http.Response, error) {
+	c.head.active, c.head.left = true, maxHeadBytes
+	defer func() { c.head.active = false }()
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			if c.head.left <= 0 && !errors.Is(err, errHeadTooLarge) {
+				err = fmt.Errorf("%w: %w", errHeadTooLarge, err)
+			}
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
--- a/node/exchange/pool.go
+++ b/node/exchange/pool.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 // Options configures a Pool. Zero fields take their default values.
@@ -37,17 +40,38 @@
 // Pool holds idle connections to servers. It is safe for concurrent use.
 type Pool struct {
 	options Options
+	faults  expvar.Map
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	opened  int64
 	closed  bool
 }
 
+// Faults of servers, as they are counted and logged.
+const (
+	faultStaleResponse      = "stale_response"
+	faultUnidentified       = "unidentified_response"
+	faultBytesAfterResponse = "bytes_after_response"
+	faultHeadTooLarge       = "head_too_large"
+)
+
+// Faults returns the numbers of the faults of servers by their kind.
+func (p *Pool) Faults() *expvar.Map { return &p.faults }
+
+// recordFault counts and logs a fault of a server.
+func (p *Pool) recordFault(kind string, c *conn) {
+	p.faults.Add(kind, 1)
+	klog.InfoS("fault of a server", "fault", kind, "address", c.address)
+}
+
 // conn is a connection, used by one request at a time.
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
+	head    *headLimiter
 	address string
+	// used is set once the connection has carried a request.
+	used bool
 	// expiresAt is the time after which the connection is not reused.
 	expiresAt time.Time
 	idleSince time.Time
@@ -85,10 +109,14 @@
 		if c == nil {
 			break
 		}
-		if c.reusable() {
+		open, unread := c.state()
+		if open && !unread {
 			return c, nil
 		}
-		_ = c.Close() // closed by the server, or has unexpected data to read
+		if unread {
+			p.recordFault(faultBytesAfterResponse, c)
+		}
+		_ = c.Close()
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
 	defer cancel()
@@ -99,7 +127,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address}, nil
+	limiter := &headLimiter{source: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limiter, readBufferBytes), head: limiter, address: address}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or returns nil if
@@ -195,23 +224,28 @@
 
 // reusable reports whether an idle connection is open and has no data to read.
 func (c *conn) reusable() bool {
+	open, unread := c.state()
+	return open && !unread
+}
+
+// state reports whether an idle connection is open and whether there is data to read.
+func (c *conn) state() (open, unread bool) {
 	if c.reader.Buffered() > 0 {
-		return false
+		return true, true
 	}
 	source, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	reusable := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, rerr := syscall.Read(int(fd), b[:])
-		reusable = errors.Is(rerr, syscall.EAGAIN)
+		n, rerr := syscall.Read(int(fd), b[:])
+		open, unread = errors.Is(rerr, syscall.EAGAIN) || n > 0, n > 0
 		return true
 	})
-	return err == nil && reusable
+	return open && err == nil, unread
 }
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -110,9 +111,9 @@
 // run makes attempts until the caller has a final response.
 func (c *call) run() {
 	c.service = ChooseService(c.route)
-	c.deadline = requestDeadline(c.arrived, c.request.CallerTimeout, c.route.Timeout)
 	ctx, cancel := withOptionalDeadline(c.incoming.Context(), c.deadline)
 	defer cancel()
+	c.limitWrites()
 	for {
 		lease, reason := c.acquireServer()
 		if reason != "" {
@@ -143,6 +144,17 @@
 	}
 }
 
+// limitWrites limits the time for which a caller that does not read its response can hold
+// the request up.
+func (c *call) limitWrites() {
+	end := time.Now().Add(cmp.Or(c.gateway.Timeouts.Write, defaultWriteTimeout))
+	if !c.deadline.IsZero() {
+		end = c.deadline.Add(cmp.Or(c.gateway.Timeouts.WriteMargin, defaultWriteMargin))
+	}
+	// Only the writers of tests do not support deadlines.
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(end)
+}
+
 // acquireServer picks the next server and counts the request in flight there. If there is
 // none, it returns the reason.
 func (c *call) acquireServer() (*fleet.Lease, string) {
@@ -165,6 +177,7 @@
 func (c *call) attempt(ctx context.Context, lease *fleet.Lease) attemptResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer lease.End(balance.Abandoned) // after a panic; otherwise the lease has ended
 	c.sentCount++
 	c.tried[lease.Server.ID] = true
 	c.servers = append(c.servers, lease.Server.ID)
@@ -199,12 +212,24 @@
 // the server does not respond in time and another attempt is allowed.
 func (c *call) startResponseTimer(cancel context.CancelCauseFunc) *time.Timer {
 	timeout := max(minResponseTimeout, time.Duration(responseTimeoutShare*float64(c.route.LatencyObjective)))
-	if !c.repeatable() || c.runCount+1 >= c.route.MaxAttempts || c.route.LatencyObjective <= 0 {
-		timeout = 1 << 62 // none
+	if !c.mayTryAnother() || c.route.LatencyObjective <= 0 {
+		timeout = c.lastAttemptTimeout()
 	}
 	return time.AfterFunc(timeout, func() { cancel(errServerTimeout) })
 }
 
+// mayTryAnother reports whether another attempt may follow one that may have run.
+func (c *call) mayTryAnother() bool { return c.repeatable() && c.runCount+1 < c.route.MaxAttempts }
+
+// lastAttemptTimeout returns the time without progress after which an attempt ends that no
+// other one can follow: there is none if the request has a deadline.
+func (c *call) lastAttemptTimeout() time.Duration {
+	if c.deadline.IsZero() {
+		return cmp.Or(c.gateway.Timeouts.Stall, defaultStallTimeout)
+	}
+	return 1 << 62
+}
+
 // recordBrokenAttempt records an attempt that ended without a complete response;
 // lastReceived is the time at which data was last received, or the request was sent.
 func (c *call) recordBrokenAttempt(ctx context.Context, lease *fleet.Lease, lastReceived time.Time, err error) attemptResult {
@@ -284,7 +309,7 @@
 	c.gateway.Metrics.count("given_up")
 	if c.headerWritten {
 		c.log("truncated: "+cause, 0, c.lastErr)
-		panic(http.ErrAbortHandler) // closes the connection, so that the response does not look complete
+		c.abort()
 	}
 	if c.errorResponse != nil && c.runCount > 0 {
 		c.log("server's error response forwarded", c.errorResponse.status, c.lastErr)
@@ -302,6 +327,17 @@
 	c.gateway.writeError(c.writer, status, retryAfter, cause)
 }
 
+// abort closes the caller's connection in the middle of a response, so that it does not
+// look complete.
+func (c *call) abort() {
+	if !c.incoming.ProtoAtLeast(1, 1) {
+		// A response without chunks ends with its connection; only a reset marks it as
+		// incomplete.
+		resetOnClose(c.incoming.Context())
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // deadlineReached reports whether the deadline is at most deadlineMargin away.
 func (c *call) deadlineReached() bool {
 	return !c.deadline.IsZero() && time.Until(c.deadline) <= deadlineMargin
--- a/node/gateway/events.go
+++ b/node/gateway/events.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	// maxEventBytes limits the size of one event.
-	maxEventBytes  = 1 << 20
+	// maxEventBytes limits the size of one event, and thereby the memory of a stream.
+	maxEventBytes  = 256 << 10
 	readChunkBytes = 4 << 10
 	idField        = "id:"
 	eventEndLF     = "\n\n"
+	eventEndCRLF   = "\r\n\r\n"
 )
 
 var errEventTooLong = errors.New("gateway: event of a stream is too large")
@@ -43,7 +44,9 @@
 type EventReader struct {
 	source io.Reader
 	buffer []byte
-	err    error
+	// searched is the length of the part of the buffer that holds no end of an event.
+	searched int
+	err      error
 }
 
 // NewEventReader returns a reader of the events of source.
@@ -53,11 +56,14 @@
 // event and io.ErrUnexpectedEOF if it ended within one.
 func (e *EventReader) Next() (Event, error) {
 	for {
-		if end := eventEnd(e.buffer); end > 0 {
-			raw := bytes.Clone(e.buffer[:end])
-			e.buffer = append(e.buffer[:0], e.buffer[end:]...)
+		// The end of an event may have begun in the part that was searched before.
+		from := max(0, e.searched-len(eventEndCRLF)+1)
+		if end := eventEnd(e.buffer[from:]); end > 0 {
+			raw := bytes.Clone(e.buffer[:from+end])
+			e.buffer, e.searched = append(e.buffer[:0], e.buffer[from+end:]...), 0
 			return parseEvent(raw), nil
 		}
+		e.searched = len(e.buffer)
 		if e.err != nil {
 			if errors.Is(e.err, io.EOF) && len(bytes.TrimSpace(e.buffer)) > 0 {
 				return Event{}, io.ErrUnexpectedEOF
@@ -80,8 +86,8 @@
 	if i := bytes.Index(b, []byte(eventEndLF)); i >= 0 {
 		end = i + len(eventEndLF)
 	}
-	if i := bytes.Index(b, []byte("\r\n\r\n")); i >= 0 && (end == 0 || i+4 < end) {
-		end = i + 4
+	if i := bytes.Index(b, []byte(eventEndCRLF)); i >= 0 && (end == 0 || i+len(eventEndCRLF) < end) {
+		end = i + len(eventEndCRLF)
 	}
 	return end
 }
--- a/node/gateway/fakes_test.go
+++ b/node/gateway/fakes_test.go
@@ -111,17 +111,29 @@
 // newFleet starts servers of one service and a gateway with one route to it.
 func newFleet(t *testing.T, servers int, route serving.Route, script serverScript) *fakeFleet {
 	t.Helper()
-	f := &fakeFleet{view: fleet.NewView(rand.New(rand.NewPCG(1, 2)))}
-	var entries []port.Entry[serving.Server]
-	for i := range servers {
+	f := &fakeFleet{}
+	var addresses []string
+	for range servers {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = l.Close() })
 		go f.serve(l, script)
+		addresses = append(addresses, l.Addr().String())
+	}
+	f.start(t, addresses, route)
+	return f
+}
+
+// start starts a gateway with one route to the servers at the addresses.
+func (f *fakeFleet) start(t *testing.T, addresses []string, route serving.Route) {
+	t.Helper()
+	f.view = fleet.NewView(rand.New(rand.NewPCG(1, 2)))
+	var entries []port.Entry[serving.Server]
+	for i, address := range addresses {
 		id := fmt.Sprintf("s%d", i)
-		entries = append(entries, port.Entry[serving.Server]{Key: id, Value: &serving.Server{ID: id, Service: "svc", Address: l.Addr().String(), Slots: 4}})
+		entries = append(entries, port.Entry[serving.Server]{Key: id, Value: &serving.Server{ID: id, Service: "svc", Address: address, Slots: 4}})
 	}
 	route.Name, route.Host, route.PathPrefix = "r", testHost, "/p/"
 	route.Targets = []serving.Target{{Service: "svc", Weight: 1}}
@@ -133,10 +145,11 @@
 	t.Cleanup(pool.Close)
 	f.entries = entries
 	f.gateway = &Gateway{View: f.view, Pool: pool, Protocol: protocol{}, Jobs: noJobs{}, Placer: localPlacer{f.view}, Containment: &localContainment{tracker: poison.NewTracker()}, Metrics: NewMetrics()}
-	front := httptest.NewServer(f.gateway)
+	front := httptest.NewUnstartedServer(f.gateway)
+	front.Config.ConnContext = WithConn
+	front.Start()
 	t.Cleanup(front.Close)
 	f.url = front.URL
-	return f
 }
 
 func (f *fakeFleet) serve(l net.Listener, script serverScript) {
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -78,6 +78,7 @@
 		c.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	c.writer.WriteHeader(response.Status)
+	c.limitWrites()
 	_, err := c.writer.Write(prefix)
 	if err == nil {
 		_, err = io.Copy(c.writer, response)
@@ -95,8 +96,8 @@
 // forwardStream forwards a stream event by event.
 func (c *call) forwardStream(ctx context.Context, lease *fleet.Lease, response *exchange.Response, timer *time.Timer, start time.Time) attemptResult {
 	gapTimeout := max(minGapTimeout, gapTimeoutFactor*c.route.GapObjective)
-	if !c.repeatable() || c.runCount+1 >= c.route.MaxAttempts {
-		gapTimeout = 1 << 62 // none
+	if !c.mayTryAnother() {
+		gapTimeout = c.lastAttemptTimeout()
 	}
 	events, lastReceived, count := NewEventReader(response), start, 0
 	for {
@@ -144,6 +145,9 @@
 	if event.HasID {
 		c.lastEvent = event.ID
 	}
+	if c.deadline.IsZero() {
+		c.limitWrites()
+	}
 	if _, err := c.writer.Write(event.Raw); err != nil {
 		return false
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +17,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/poison"
 )
@@ -65,8 +68,32 @@
 	Placer      Placer
 	Containment Containment
 	Metrics     *Metrics
+	// Timeouts replaces the default timeouts in tests.
+	Timeouts Timeouts
 }
 
+// Timeouts are the times after which a gateway ends requests that make no progress. Zero
+// fields take their default values.
+type Timeouts struct {
+	// Stall ends an attempt without a response, or without a complete event for so long, if
+	// neither the caller nor the route limits the time of the request and no other attempt
+	// is possible. Bytes that complete no event do not count.
+	Stall time.Duration
+	// Body is the time for which a caller may take to send its body, and Write the time for
+	// which it may take to read a response or an event, if the request has no deadline.
+	Body, Write time.Duration
+	// WriteMargin is the time after the deadline for which a caller may take to read its
+	// response.
+	WriteMargin time.Duration
+}
+
+const (
+	defaultStallTimeout = time.Minute
+	defaultBodyTimeout  = 30 * time.Second
+	defaultWriteTimeout = time.Minute
+	defaultWriteMargin  = 5 * time.Second
+)
+
 const (
 	// defaultMaxBodyBytes limits a request's body if the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
@@ -82,8 +109,20 @@
 	blockedRetryAfter = time.Minute
 )
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. A panic ends the request alone.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			if cause != http.ErrAbortHandler {
+				guard.Report("request", cause)
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}()
+	g.serve(w, r)
+}
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	request := g.Protocol.ParseRequest(r.Header)
 	if !g.awaitReady(r, request.CallerTimeout) {
@@ -99,13 +138,14 @@
 		g.reject(w, request.ID, http.StatusNotFound, 0, "no route")
 		return
 	}
-	body, ok := g.readBody(w, r, request.ID, revision.Limits.BodyBytes)
+	deadline := requestDeadline(arrived, request.CallerTimeout, route.Timeout)
+	body, ok := g.readBody(w, r, request.ID, revision.Limits.BodyBytes, deadline)
 	if !ok {
 		return
 	}
 	c := &call{
 		gateway: g, route: route, revision: revision, request: request, writer: w, incoming: r, body: body,
-		arrived: arrived, tried: map[string]bool{},
+		arrived: arrived, deadline: deadline, tried: map[string]bool{},
 	}
 	c.lastEvent = request.ResumeAfter
 	c.fingerprint = fingerprint(r, body)
@@ -138,19 +178,30 @@
 	return false
 }
 
-// readBody reads the request's whole body. It returns false after it has written an error
-// response, and aborts the handler if the caller has disconnected.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, id string, maxBytes int64) ([]byte, bool) {
+// readBody reads the request's whole body, which has to arrive by the deadline or, if that
+// is zero, within the body timeout. It returns false after it has written an error response,
+// and aborts the handler if the caller has disconnected.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, id string, maxBytes int64, deadline time.Time) ([]byte, bool) {
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
+	if deadline.IsZero() {
+		deadline = time.Now().Add(cmp.Or(g.Timeouts.Body, defaultBodyTimeout))
+	}
+	controller := http.NewResponseController(w)
+	// Only the writers of tests do not support deadlines.
+	_ = controller.SetReadDeadline(deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		_ = controller.SetReadDeadline(time.Time{})
 		return body, true
 	case errors.As(err, &tooLarge):
 		g.reject(w, id, http.StatusRequestEntityTooLarge, 0, "body above the limit")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		g.reject(w, id, http.StatusRequestTimeout, 0, "the body did not arrive in time")
 	default:
 		klog.InfoS("request abandoned", "id", id, "cause", "caller disconnected while it sent the body", "err", err)
 		g.Metrics.count("caller_broke_off")
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -20,11 +20,13 @@
 )
 
 const (
-	// firstEventTimeout is the maximum time to the first event of a run, and
-	// eventGapTimeout that between two events. After it the item continues on another
-	// server. Items are only sent to free slots, so that they do not wait there.
-	firstEventTimeout = 1500 * time.Millisecond
-	eventGapTimeout   = 1500 * time.Millisecond
+	// minEventTimeout is the minimum time without a complete event after which an item
+	// continues on another server. Items are only sent to free slots, so that they do not
+	// wait there. After each such run without a new event the timeout doubles, at most
+	// maxTimeoutDoublings times, so that an item also ends on servers that are all slow.
+	minEventTimeout     = 1500 * time.Millisecond
+	eventTimeoutFactor  = 5
+	maxTimeoutDoublings = 6
 	// maxRetryDoublings limits the exponential backoff of an item whose runs are
 	// interrupted.
 	maxRetryDoublings = 5
@@ -143,7 +145,8 @@
 		"busy", lease.InFlight, "slots", lease.Slots, "after", run.lastEvent)
 	sendCtx, cancelSend := context.WithCancelCause(ctx)
 	defer cancelSend(nil)
-	eventTimer := time.AfterFunc(firstEventTimeout, func() { cancelSend(errEventTimeout) })
+	eventTimeout := run.eventTimeout(route)
+	eventTimer := time.AfterFunc(eventTimeout, func() { cancelSend(errEventTimeout) })
 	defer eventTimer.Stop()
 	response, err := r.Pool.Do(sendCtx, lease.Server.Address, r.buildRequest(run, accepted, item, lease.Server.ID), r.parseServerHeader)
 	if err != nil {
@@ -159,11 +162,17 @@
 		r.logRun(item, run, lease, "refused by the server", nil)
 		return runOutcome{retryDelay: refusedRetryDelay}
 	case response.Status == http.StatusOK && parsed.Signed:
-		return r.readOutput(sendCtx, run, item, lease, response, eventTimer)
+		return r.readOutput(sendCtx, run, item, lease, response, eventTimer, eventTimeout)
 	}
 	return r.handleFailure(run, item, accepted, route, lease, response)
 }
 
+// eventTimeout returns the time without a complete event after which the run ends.
+func (run *itemRun) eventTimeout(route *serving.Route) time.Duration {
+	timeout := max(minEventTimeout, eventTimeoutFactor*route.GapObjective)
+	return timeout << min(run.interruptions, maxTimeoutDoublings)
+}
+
 // restore loads the output that another instance saved.
 func (r *Runner) restore(ctx context.Context, run *itemRun, progress *joblog.Progress) error {
 	if progress == nil || run.hasOutput && run.lastEvent >= progress.LastEvent {
@@ -240,7 +249,7 @@
 }
 
 // readOutput reads the events of the item's output.
-func (r *Runner) readOutput(ctx context.Context, run *itemRun, item *Item, lease *fleet.Lease, response *exchange.Response, eventTimer *time.Timer) runOutcome {
+func (r *Runner) readOutput(ctx context.Context, run *itemRun, item *Item, lease *fleet.Lease, response *exchange.Response, eventTimer *time.Timer, eventTimeout time.Duration) runOutcome {
 	events, lastReceived, count := gateway.NewEventReader(response), time.Now(), 0
 	for {
 		event, err := events.Next()
@@ -256,7 +265,7 @@
 		if err != nil {
 			return r.handleInterruption(ctx, run, item, lease, err)
 		}
-		eventTimer.Reset(eventGapTimeout)
+		eventTimer.Reset(eventTimeout)
 		now := time.Now()
 		if count == 0 {
 			lease.ResponseStarted()
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -32,6 +33,8 @@
 	// maxResultBytes is the maximum size of the outputs in one response, in bytes. The
 	// platform allows 1 MB including its framing.
 	maxResultBytes = 900 << 10
+	// maxSubmissionTime is the time for which a caller may take to send a submission.
+	maxSubmissionTime = 30 * time.Second
 	// defaultMaxSubmissionBytes is the maximum size of a submission, in bytes, if the
 	// configuration has no limit.
 	defaultMaxSubmissionBytes = 4 << 20
@@ -129,15 +132,24 @@
 	if revision := s.Revision(); revision != nil && revision.Limits.BodyBytes > 0 {
 		limit = revision.Limits.BodyBytes
 	}
+	// Only the writers of tests do not support deadlines.
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(start.Add(maxSubmissionTime))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			w.Header().Set("Connection", "close")
+			s.refuse(w, call, http.StatusRequestTimeout, "the submission did not arrive in time", err)
+			return
+		}
 		if !errors.As(err, &tooLarge) {
 			panic(http.ErrAbortHandler) // the caller disconnected
 		}
 		s.refuse(w, call, http.StatusRequestEntityTooLarge, "submission above the limit", err)
 		return
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	if job, _, _ := s.lookUp(call.Job); job != nil {
 		klog.InfoS("job submitted again", "job", call.Job, "acceptedBy", job.Instance)
 		w.WriteHeader(http.StatusAccepted)
--- /dev/null
+++ b/node/serve/callers.go
@@ -0,0 +1,226 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
+)
+
+const (
+	// headerTimeout and idleTimeout apply to callers' connections. The idle timeout is
+	// above the limit that operators usually set, so that the caller closes first.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxWriteTime limits the writing of any response. The gateway sets a shorter limit for
+	// each request, which this one replaces at the next request of the connection.
+	maxWriteTime = 10 * time.Minute
+	// maxHeaderBytes limits the headers of a caller's request.
+	maxHeaderBytes = 64 << 10
+	// backlogPause is the time without a new connection after which the listener closes, and
+	// maxBacklogTime the time after which it closes at the latest. The kernel resets the
+	// connections that still wait in the listen queue then.
+	backlogPause   = 5 * time.Millisecond
+	maxBacklogTime = 100 * time.Millisecond
+	// newConnTime is the time that a new connection has for the first bytes of a request
+	// while the server drains.
+	newConnTime = time.Second
+	// drainPollInterval is the interval at which a draining server looks for connections
+	// that have become quiet.
+	drainPollInterval = 10 * time.Millisecond
+)
+
+// callerServer serves callers and drains without cutting off their requests.
+//
+// It does not use the Shutdown of http.Server, which drops a request whose head it has read
+// after the shutdown began.
+type callerServer struct {
+	server   *http.Server
+	listener *callerListener
+	leaving  atomic.Bool
+}
+
+// newCallerServer returns a server that passes callers' requests to handler. The function
+// connContext is that of http.Server.
+func newCallerServer(handler http.Handler, connContext func(context.Context, net.Conn) context.Context) *callerServer {
+	s := &callerServer{listener: &callerListener{conns: map[*callerConn]struct{}{}, closed: make(chan struct{})}}
+	s.server = &http.Server{
+		Handler: s.closeWhileLeaving(handler), ConnContext: connContext, ConnState: recordState, ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, WriteTimeout: maxWriteTime, MaxHeaderBytes: maxHeaderBytes,
+	}
+	return s
+}
+
+// closeWhileLeaving makes each connection end with its next response once the instance is
+// leaving, so that callers open their next one at another instance.
+func (s *callerServer) closeWhileLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *callerServer) Serve(l *net.TCPListener) error {
+	s.listener.TCPListener = l
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, net.ErrClosed) {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// Leave makes the server end connections with their next response. New connections are
+// still accepted.
+func (s *callerServer) Leave() { s.leaving.Store(true) }
+
+// Drain accepts the connections that wait, closes the listener and waits until all requests
+// that were read, also in part, have their responses, at most until ctx is done. It then
+// closes the connections without a request.
+func (s *callerServer) Drain(ctx context.Context) error {
+	s.Leave()
+	s.listener.acceptRest()
+	for s.listener.closeQuiet(time.Now()) > 0 {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		clock.Sleep(ctx, drainPollInterval)
+	}
+	return nil
+}
+
+// Close closes all connections.
+func (s *callerServer) Close() { _ = s.server.Close() }
+
+// callerListener is a listener that keeps track of its connections and, before it closes,
+// accepts what waits in its queue.
+type callerListener struct {
+	*net.TCPListener
+	closing atomic.Bool
+	// closed is closed once the listener is.
+	closed chan struct{}
+
+	mu    sync.Mutex
+	conns map[*callerConn]struct{}
+}
+
+// Accept implements net.Listener. It returns net.ErrClosed once no connection waits after
+// acceptRest was called.
+func (l *callerListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.AcceptTCP()
+		switch {
+		case err == nil:
+			c := &callerConn{TCPConn: conn, listener: l, openedAt: time.Now()}
+			l.mu.Lock()
+			l.conns[c] = struct{}{}
+			l.mu.Unlock()
+			if l.closing.Load() {
+				// A passed deadline makes Accept fail although connections wait.
+				_ = l.SetDeadline(time.Now().Add(backlogPause))
+			}
+			return c, nil
+		case l.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+			_ = l.TCPListener.Close() // a second close has no effect
+			close(l.closed)
+			return nil, net.ErrClosed
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, err
+		}
+	}
+}
+
+// acceptRest makes Accept return what waits in the queue and then close the listener. It
+// returns when that is done, or after maxBacklogTime.
+func (l *callerListener) acceptRest() {
+	if l.TCPListener == nil || l.closing.Swap(true) || l.SetDeadline(time.Now().Add(backlogPause)) != nil {
+		return // not listening, or closed before
+	}
+	select {
+	case <-l.closed:
+	case <-time.After(maxBacklogTime):
+		_ = l.TCPListener.Close()
+	}
+}
+
+// closeQuiet closes the connections without a request, and returns the number of the others.
+func (l *callerListener) closeQuiet(now time.Time) int {
+	l.mu.Lock()
+	conns := make([]*callerConn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	busy := 0
+	for _, c := range conns {
+		if c.isQuiet(now) {
+			_ = c.Close()
+		} else {
+			busy++
+		}
+	}
+	return busy
+}
+
+// callerConn is the connection of a caller.
+type callerConn struct {
+	*net.TCPConn
+	listener *callerListener
+	openedAt time.Time
+
+	mu sync.Mutex
+	// state is the state of the connection, and receivedSince is set if bytes were received
+	// since the connection entered it.
+	state         http.ConnState
+	receivedSince bool
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		c.receivedSince = true
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// recordState is the ConnState function of the server.
+func recordState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*callerConn); ok {
+		c.mu.Lock()
+		c.state, c.receivedSince = state, false
+		c.mu.Unlock()
+	}
+}
+
+// isQuiet reports whether the connection carries no request, not even a part of one. A new
+// connection gets newConnTime for its first bytes.
+func (c *callerConn) isQuiet(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.state {
+	case http.StateNew:
+		return !c.receivedSince && now.Sub(c.openedAt) > newConnTime
+	case http.StateIdle:
+		return !c.receivedSince
+	}
+	return false
+}
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -17,6 +17,7 @@
 
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
@@ -24,6 +25,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
 	"github.com/jacinthnotch/jacinthnotch/node/jobs"
 	"github.com/jacinthnotch/jacinthnotch/node/peer"
@@ -45,12 +47,6 @@
 	// announceWait is how long the store may delay a read of the instances' entries until
 	// there are changes.
 	announceWait = 5 * time.Second
-	// headerTimeout and idleTimeout apply to callers' connections. The idle timeout is
-	// above the limit that operators usually set, so that the caller closes first.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes limits the headers of a caller's request.
-	maxHeaderBytes = 64 << 10
 	// loadBalancerDelay is how long the load balancer may still send new connections after the
 	// instance has become unready: it checks readiness once a second and removes an
 	// instance after two failed checks.
@@ -58,6 +54,10 @@
 	// exitMargin is the part of the grace period that is reserved for the exit of the
 	// process.
 	exitMargin = 400 * time.Millisecond
+	// minTaskRestartDelay and maxTaskRestartDelay bound the delay before a background task
+	// that panicked is started again.
+	minTaskRestartDelay = 100 * time.Millisecond
+	maxTaskRestartDelay = 5 * time.Second
 	// handoverTimeout limits the handover of batch items to other instances in a drain.
 	handoverTimeout = 2500 * time.Millisecond
 )
@@ -103,7 +103,7 @@
 	runner      *jobs.Runner
 	gateway     *gateway.Gateway
 	jobMetrics  *jobs.Metrics
-	callers     *http.Server
+	callers     *callerServer
 	readiness   *http.Server
 	leaving     atomic.Bool
 }
@@ -142,9 +142,7 @@
 		Index: i.index, Blobs: blobStore, Runner: i.runner, Codec: p.Protocol, Revision: i.view.Revision, StorePath: i.store,
 		Refuse: i.refuse, Self: self,
 	}
-	i.callers = &http.Server{
-		Handler: i.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	i.callers = newCallerServer(i.gateway, gateway.WithConn)
 	i.readiness = &http.Server{Handler: i.readinessHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	return i, nil
 }
@@ -169,6 +167,7 @@
 	metrics.Set("jobs", i.jobMetrics.Map())
 	metrics.Set("waiting_tokens", i.index.WaitingMetrics())
 	metrics.Set("store_calls", i.store.Map())
+	metrics.Set("server_faults", i.pool.Faults())
 	metrics.Set("panics", guard.Metrics())
 	metrics.Set("connections_opened", expvar.Func(func() any { return i.pool.Opened() }))
 	mux := http.NewServeMux()
@@ -211,23 +210,14 @@
 	// The background tasks outlive ctx because draining depends on them.
 	taskCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	var running conc.WaitGroup
-	// A panic in a task stops the process, which is then restarted; otherwise the instance
-	// would continue without the task.
-	failures := make(chan error, len(i.tasks())+3)
+	failures := make(chan error, 3)
 	for _, task := range i.tasks() {
-		running.Go(func() {
-			defer func() {
-				if cause := recover(); cause != nil {
-					failures <- fmt.Errorf("serve: background task panicked: %v\n%s", cause, debug.Stack())
-				}
-			}()
-			task(taskCtx)
-		})
+		running.Go(func() { runTask(taskCtx, task) })
 	}
-	running.Go(func() { failures <- i.callers.Serve(callers) })
+	running.Go(func() { failures <- i.callers.Serve(callers.(*net.TCPListener)) })
 	running.Go(func() { failures <- i.readiness.Serve(readiness) })
 	running.Go(func() {
-		if err := peer.NewServer(peerListener, mux, nil).Serve(taskCtx); err != nil && taskCtx.Err() == nil {
+		if err := peer.NewServer(peerListener, guardedHandler{mux}, nil).Serve(taskCtx); err != nil && taskCtx.Err() == nil {
 			failures <- fmt.Errorf("serve: calls of other instances: %w", err)
 		}
 	})
@@ -238,7 +228,7 @@
 	case err = <-failures:
 	}
 	stopTasks()
-	_ = i.callers.Close()   // all requests are done or the grace period is over
+	i.callers.Close()       // all requests are done or the grace period is over
 	_ = i.readiness.Close() // no response is needed any more
 	i.pool.Close()
 	if err := i.peerConns.Close(); err != nil {
@@ -252,16 +242,48 @@
 	return err
 }
 
+// backgroundTask is a task of an instance that runs until its context is done.
+type backgroundTask struct {
+	name string
+	run  func(context.Context)
+}
+
 // tasks returns the background tasks of the instance; each runs in its own goroutine.
-func (i *Instance) tasks() []func(context.Context) {
+func (i *Instance) tasks() []backgroundTask {
 	config := &fleet.Follower[serving.Revision]{Name: "configuration", Feed: i.feeds.Config, Apply: i.view.ApplyConfig, OnRead: i.view.RecordConfigRead}
 	servers := &fleet.Follower[serving.Server]{Name: "servers", Feed: i.feeds.Servers, Apply: i.view.ApplyServers, OnRead: i.view.RecordServersRead}
-	return []func(context.Context){
-		config.Run, servers.Run, i.group.Receive, i.group.SendReports, i.index.Follow, i.index.RunAppends, i.runner.Run, i.expireLoop, i.store.RunProbes,
-		func(ctx context.Context) { i.group.Announce(ctx, announceWait) },
+	return []backgroundTask{
+		{"configuration", config.Run}, {"servers", servers.Run}, {"datagrams", i.group.Receive}, {"reports", i.group.SendReports},
+		{"job index", i.index.Follow}, {"job index appends", i.index.RunAppends}, {"items", i.runner.Run}, {"expiry", i.expireLoop},
+		{"store probes", i.store.RunProbes}, {"instances", func(ctx context.Context) { i.group.Announce(ctx, announceWait) }},
+	}
+}
+
+// runTask runs a task until ctx is done. A task that panics is started again after a delay,
+// and the others go on.
+func runTask(ctx context.Context, task backgroundTask) {
+	for delay := minTaskRestartDelay; ctx.Err() == nil; delay = min(2*delay, maxTaskRestartDelay) {
+		if guard.Run(task.name, func() { task.run(ctx) }) {
+			return
+		}
+		clock.Sleep(ctx, delay)
 	}
 }
 
+// errInternal is the error of a call of another instance that panicked.
+var errInternal = errors.New("serve: internal error")
+
+// guardedHandler keeps a panic in a call of another instance from ending the process.
+type guardedHandler struct{ drpc.Handler }
+
+// HandleRPC implements drpc.Handler.
+func (h guardedHandler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	if !guard.Run("call of an instance", func() { err = h.Handler.HandleRPC(stream, rpc) }) {
+		return errInternal
+	}
+	return err
+}
+
 func (i *Instance) expireLoop(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
@@ -282,7 +304,7 @@
 	start := time.Now()
 	klog.InfoS("drain begins", "instance", i.settings.Instance)
 	i.leaving.Store(true)
-	i.callers.SetKeepAlivesEnabled(false)
+	i.callers.Leave()
 	i.group.Leave()
 	handoverCtx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	i.runner.Drain(handoverCtx)
@@ -290,7 +312,7 @@
 	time.Sleep(time.Until(start.Add(loadBalancerDelay)))
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), start.Add(i.settings.GracePeriod()-exitMargin))
 	defer cancel()
-	if err := i.callers.Shutdown(shutdownCtx); err != nil {
+	if err := i.callers.Drain(shutdownCtx); err != nil {
 		klog.InfoS("drain interrupted requests in flight", "err", err)
 	}
 	klog.InfoS("drain ends", "instance", i.settings.Instance, "took", time.Since(start))
--- a/node/serve/settings_test.go
+++ b/node/serve/settings_test.go
@@ -73,3 +73,16 @@
 		}
 	}
 }
+
+// FuzzParse guards against a panic on malformed settings, and against settings that pass the
+// checks without the fields that an instance needs.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("instance = \"a\"\ndata_centre = \"b\"\n[listen]\ncallers = \"1.2.3.4:5\"\n"))
+	f.Add([]byte("[limits]\nmemory_mb = -1\n[drain]\ngrace_s = 1e300\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s, err := Parse(raw)
+		if err == nil && (s.Instance == "" || s.Store.Address == "" || s.Limits.MemoryMB <= 0 || s.Drain.GraceS <= 0) {
+			t.Errorf("accepted %+v", s)
+		}
+	})
+}
--- /dev/null
+++ b/standin/faulty/faulty.go
@@ -0,0 +1,204 @@
+// Package faulty is a stand-in for a backend server whose answers break the rules of HTTP:
+// bytes without end in any part of an answer, second copies of an answer, and answers that
+// break off.
+package faulty
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/standin/kit"
+)
+
+// Answer is the way in which the server answers a request.
+type Answer string
+
+// The answers. All but Sound, Copy, LateCopy and Truncated go on until the client closes.
+const (
+	Sound Answer = "sound"
+	// EndlessLine sends one header line, EndlessHeaders header lines and EndlessInterim
+	// interim responses without end.
+	EndlessLine    Answer = "endless-line"
+	EndlessHeaders Answer = "endless-headers"
+	EndlessInterim Answer = "endless-interim"
+	// EndlessBody sends a body without a length, BeyondLength goes on after the body, and
+	// EndlessChunks sends chunks without end.
+	EndlessBody   Answer = "endless-body"
+	BeyondLength  Answer = "beyond-length"
+	EndlessChunks Answer = "endless-chunks"
+	// ChunkExtension sends the extension of a chunk, and EndlessTrailers trailers without end.
+	ChunkExtension  Answer = "chunk-extension"
+	EndlessTrailers Answer = "endless-trailers"
+	// EndlessEvent sends an event of a stream without end, and SlowBytes does so with a byte
+	// now and then.
+	EndlessEvent Answer = "endless-event"
+	SlowBytes    Answer = "slow-bytes"
+	// Copy sends the answer twice at once, LateCopy a second time after Options.Interval, and
+	// CopyWithoutID like Copy, but without the request's ID in the second one.
+	Copy          Answer = "copy"
+	LateCopy      Answer = "late-copy"
+	CopyWithoutID Answer = "copy-without-id"
+	// Truncated ends the answer after Options.Bytes bytes.
+	Truncated Answer = "truncated"
+)
+
+// Options configures a Server.
+type Options struct {
+	Answer Answer `help:"How each request is answered." default:"sound"`
+	// Interval is the time between two bytes of SlowBytes, and before the copy of LateCopy.
+	Interval time.Duration `help:"Time between two bytes, or before a late copy." default:"100ms"`
+	// Bytes is the length of a Truncated answer, and Reset makes it end with a TCP reset.
+	Bytes int  `help:"Length of a truncated answer in bytes."`
+	Reset bool `help:"End a truncated answer with a reset."`
+	// IDHeader is the header that names a request, which the server echoes.
+	IDHeader string `help:"Header that the server echoes." default:"X-Request-Id"`
+	// Header holds further header lines of each answer, each ended by CRLF.
+	Header string `help:"Further header lines of each answer, each ended by CRLF."`
+	// Stream makes the server answer with an event stream in chunks.
+	Stream bool `help:"Answer with an event stream."`
+}
+
+// Server is the stand-in.
+type Server struct {
+	*kit.Server
+	options  Options
+	requests atomic.Int64
+}
+
+// New returns a server that is not started.
+func New(o Options) *Server {
+	s := &Server{options: o}
+	s.Server = kit.NewServer(s.serve)
+	return s
+}
+
+// Requests returns the number of requests that were read.
+func (s *Server) Requests() int64 { return s.requests.Load() }
+
+func (s *Server) serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		s.requests.Add(1)
+		if !s.answer(conn, r) {
+			return
+		}
+	}
+}
+
+// head returns the head of an answer with the given framing header line.
+func (s *Server) head(r *http.Request, framing string) string {
+	head := "HTTP/1.1 200 OK\r\n"
+	if id := r.Header.Get(s.options.IDHeader); id != "" {
+		head += s.options.IDHeader + ": " + id + "\r\n"
+	}
+	return head + s.options.Header + framing + "\r\n"
+}
+
+// Body is the body of a sound answer, for a request that names itself by ID.
+func Body(id string) string { return "answer to " + id }
+
+// Events is the body of a sound event stream.
+const Events = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+
+// sound returns a whole answer.
+func (s *Server) sound(r *http.Request) string {
+	if s.options.Stream {
+		return s.head(r, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + chunk(Events) + "0\r\n\r\n"
+	}
+	body := Body(r.Header.Get(s.options.IDHeader))
+	return s.head(r, fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// answer writes an answer. It returns false if the connection is to be closed.
+func (s *Server) answer(conn net.Conn, r *http.Request) bool {
+	chunked := s.head(r, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+	filler := strings.Repeat("x", 4<<10)
+	switch s.options.Answer {
+	case EndlessLine:
+		return repeat(conn, "HTTP/1.1 200 OK\r\nFiller: ", filler)
+	case EndlessHeaders:
+		return repeat(conn, "HTTP/1.1 200 OK\r\n", "Filler: "+filler+"\r\n")
+	case EndlessInterim:
+		return repeat(conn, "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+	case EndlessBody:
+		return repeat(conn, s.head(r, "Connection: close\r\n"), filler)
+	case BeyondLength:
+		return repeat(conn, s.sound(r), filler)
+	case EndlessChunks:
+		return repeat(conn, chunked, chunk(filler))
+	case ChunkExtension:
+		return repeat(conn, chunked+"5;", filler)
+	case EndlessTrailers:
+		return repeat(conn, chunked+chunk(Events)+"0\r\n", "Filler: "+filler+"\r\n")
+	case EndlessEvent:
+		return repeat(conn, chunked, chunk("data: "+filler))
+	case SlowBytes:
+		return s.repeatSlowly(conn, chunked+chunk("id: 1\ndata: "))
+	case Copy:
+		return write(conn, s.sound(r)+s.sound(r))
+	case CopyWithoutID:
+		anonymous := r.Clone(r.Context())
+		anonymous.Header.Del(s.options.IDHeader)
+		return write(conn, s.sound(r)+s.sound(anonymous))
+	case LateCopy:
+		ok := write(conn, s.sound(r))
+		time.Sleep(s.options.Interval)
+		return ok && write(conn, s.sound(r))
+	case Truncated:
+		whole := s.sound(r)
+		_ = write(conn, whole[:min(s.options.Bytes, len(whole))])
+		if tcp, ok := conn.(interface{ SetLinger(int) error }); ok && s.options.Reset {
+			// Reset only after the client has read the bytes, or it may lose them.
+			time.Sleep(s.options.Interval)
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	}
+	return write(conn, s.sound(r))
+}
+
+func write(conn net.Conn, text string) bool {
+	_, err := io.WriteString(conn, text)
+	return err == nil
+}
+
+// repeat writes a beginning and then the same text until the client closes.
+func repeat(conn net.Conn, beginning, text string) bool {
+	for ok := write(conn, beginning); ok; ok = write(conn, text) {
+	}
+	return false
+}
+
+// repeatSlowly writes a beginning and then one byte at each interval.
+func (s *Server) repeatSlowly(conn net.Conn, beginning string) bool {
+	for ok := write(conn, beginning); ok; ok = write(conn, chunk("x")) {
+		time.Sleep(s.options.Interval)
+	}
+	return false
+}
--- a/standin/kit/server.go
+++ b/standin/kit/server.go
@@ -142,6 +142,14 @@
 	return c.Conn.Close()
 }
 
+// SetLinger sets the linger time as net.TCPConn does.
+func (c *conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // reset closes the connection with a TCP reset, as the host of a dead process does.
 func (c *conn) reset() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
