node/jobs: one call for a write while the store is away, writers wait for its recovery

Change: while no path works only one partition is tried, and writers wait for the first call that succeeds, 1 s at most.

--- a/node/jobs/blobstore.go
+++ b/node/jobs/blobstore.go
@@ -42,6 +42,9 @@
 	Partitions int
 	// CacheBytes is the maximum total size of the cached blobs.
 	CacheBytes int
+	// IsStoreAway reports whether no path to the store works, so that no other partition need
+	// be tried; nil means that this is not known.
+	IsStoreAway func() bool
 }
 
 // BlobStore writes blobs to the bulk topic and reads them. It is safe for concurrent use.
@@ -144,7 +147,8 @@
 			w.records, w.blobIndexes, w.bytes = w.records[:0], w.blobIndexes[:0], 0
 			return nil
 		}
-		if ctx.Err() != nil || tries == maxPartitionAttempts || len(w.partitions) == 1 {
+		away := w.blobStore.options.IsStoreAway != nil && w.blobStore.options.IsStoreAway()
+		if away || ctx.Err() != nil || tries == maxPartitionAttempts || len(w.partitions) == 1 {
 			return err
 		}
 		klog.InfoS("append to a bulk partition failed", "topic", BulkTopic, "partition", partition, "for", partitionCooldown, "err", err)
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -15,7 +15,6 @@
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
-	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 )
 
@@ -295,7 +294,7 @@
 			return
 		}
 		if !first {
-			clock.Sleep(ctx, maxRetryDelay)
+			r.Index.storeHealth.await(ctx, maxRetryDelay)
 		}
 		writeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeWriteTimeout)
 		var err error
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -120,7 +120,8 @@
 	i.feeds, i.index = p.NewFeeds(i.store), jobs.NewIndex(i.store)
 	blobStore := jobs.NewBlobStore(i.store, jobs.BlobStoreOptions{
 		RecordBytes: s.Store.RecordBytes, CallBytes: s.Store.CallBytes, Partitions: s.Store.Partitions,
-		CacheBytes: int(blobCacheMemoryShare * float64(s.Limits.MemoryMB<<20)),
+		CacheBytes:  int(blobCacheMemoryShare * float64(s.Limits.MemoryMB<<20)),
+		IsStoreAway: func() bool { return i.store.Reachability() == pathselect.Unreachable },
 	})
 	group, err := peers.NewGroup(peers.Options{
 		Name: s.Instance, DataCentre: s.DataCentre, Cores: s.Limits.Cores, Incarnation: i.incarnation,
