node/peers: entries of instances are listed anew when a roster names an unknown one

Cause: found by reading. Since the feed of entries is followed instead of listed every 5 s, a change that is lost (the store may drop a feed's history while changes are made) would leave an instance unknown to some others for ever, and they would claim its jobs. Change: listed anew when a roster names an unknown instance, 5 s apart at least, and every minute. Test: TestInstanceWithLostEntryIsFound, which fails without it.

--- a/node/peers/announce.go
+++ b/node/peers/announce.go
@@ -16,6 +16,10 @@
 	// announceRetryDelay is the pause after the entries could not be read or the
 	// instance's entry could not be published.
 	announceRetryDelay = 500 * time.Millisecond
+	// listInterval is the interval at which all entries are listed anew, in case a change of
+	// them was missed, and minListInterval the interval if one is known to be.
+	listInterval    = time.Minute
+	minListInterval = 5 * time.Second
 	// entriesReadPause is the pause after a read that returned entries. Many instances
 	// publish theirs within a short time when they are restarted together.
 	entriesReadPause = 500 * time.Millisecond
@@ -56,7 +60,14 @@
 // peerTTL.
 func (g *Group) Announce(ctx context.Context, wait time.Duration) {
 	next, published := int64(-1), false
+	listedAt := time.Time{}
 	for ctx.Err() == nil {
+		if age := time.Since(listedAt); age > listInterval || age > minListInterval && g.missesEntries() {
+			next = -1
+		}
+		if next < 0 {
+			listedAt = time.Now()
+		}
 		entries, nextOffset, err := g.readEntries(ctx, next, wait)
 		var expired *port.ExpiredError
 		if errors.As(err, &expired) {
@@ -83,6 +94,15 @@
 	}
 }
 
+// missesEntries reports whether a roster named an instance whose entry is not known.
+func (g *Group) missesEntries() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	missing := g.entriesMissing
+	g.entriesMissing = false
+	return missing
+}
+
 // readEntries reads the changes of the entries from an offset on, or all entries if the
 // offset is negative. It returns the offset to read from next.
 func (g *Group) readEntries(ctx context.Context, from int64, wait time.Duration) ([]port.Entry[Instance], int64, error) {
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -202,6 +202,8 @@
 	for h, i := range p.roster.members {
 		if listed := g.peersByHash[h]; listed != nil {
 			listed.listedAt, listed.Incarnation, listed.reachesStore = now, i.Incarnation, i.ReachesStore
+		} else if h != hash(g.opt.Name) {
+			g.entriesMissing = true
 		}
 	}
 	for _, f := range report.Blocked {
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -91,6 +91,8 @@
 	// preemptions keeps one order from preempting two batch requests.
 	preemptions preemptionLog
 	tracker     *poison.Tracker
+	// entriesMissing is set when a roster names an instance whose entry is not known.
+	entriesMissing bool
 	// alive is the result of Alive at aliveAt.
 	alive   map[string]uint32
 	aliveAt time.Time
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -43,8 +43,10 @@
 type fakeFeed struct {
 	mu      sync.Mutex
 	entries map[string]Instance
-	// log holds all entries in the order in which they were written.
-	log []port.Entry[Instance]
+	// log holds all entries in the order in which they were written, and hideChanges makes
+	// Changes leave out the later ones.
+	log         []port.Entry[Instance]
+	hideChanges bool
 }
 
 func (f *fakeFeed) Newest(context.Context) ([]port.Entry[Instance], int64, error) {
@@ -72,7 +74,9 @@
 func (f *fakeFeed) Put(_ context.Context, key string, i *Instance) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.log = append(f.log, port.Entry[Instance]{Key: key, Value: i})
+	if !f.hideChanges {
+		f.log = append(f.log, port.Entry[Instance]{Key: key, Value: i})
+	}
 	if i == nil {
 		delete(f.entries, key)
 		return nil
@@ -371,6 +375,28 @@
 	})
 }
 
+// Guards against an instance that stays unknown to others, whose jobs they would claim,
+// because the change with its entry was lost, as when the store drops the history of a feed.
+func TestInstanceWithLostEntryIsFound(t *testing.T) {
+	inVirtualTime(t, 3, func(t *testing.T, net *network) {
+		f := &fakeFeed{entries: map[string]Instance{}}
+		var nodes []*node
+		for i := range 4 {
+			nodes = append(nodes, startNode(t, net, f, fmt.Sprint("n", i), 1, 8))
+		}
+		for _, n := range nodes {
+			waitFor(t, n.name+" does not find the others", func() bool { return len(n.group.Alive()) == 3 })
+		}
+		f.mu.Lock()
+		f.hideChanges = true
+		f.mu.Unlock()
+		startNode(t, net, f, "late", 1, 8)
+		for _, n := range nodes {
+			waitFor(t, n.name+" does not find an instance whose entry it missed", func() bool { return len(n.group.Alive()) == 4 })
+		}
+	})
+}
+
 // Guards against a leaving instance that others still count as alive.
 func TestLeavingInstanceIsNotAlive(t *testing.T) {
 	inVirtualTime(t, 5, func(t *testing.T, net *network) {
