node/relay: conditional appends through a peer

Cause: conditional appends went on the own path only. Change: an RPC of its own, so that an older instance refuses it rather than appending without the condition. Test: TestConditionalAppendThroughPeer.

--- a/node/relay/message.go
+++ b/node/relay/message.go
@@ -19,6 +19,8 @@
 	switch {
 	case errors.As(err, &expired):
 		f.Kind, f.Cause, f.First = peerpb.StoreFailure_EXPIRED, expired.Stream, expired.First
+	case errors.Is(err, port.ErrOffsetMismatch):
+		f.Kind = peerpb.StoreFailure_OFFSET_MISMATCH
 	case errors.Is(err, errNoPath):
 		f.Kind = peerpb.StoreFailure_NO_PATH
 	case errors.Is(err, port.ErrUnavailable):
@@ -34,6 +36,8 @@
 		return nil
 	case f.GetKind() == peerpb.StoreFailure_EXPIRED:
 		return &port.ExpiredError{Stream: f.GetCause(), First: f.GetFirst()}
+	case f.GetKind() == peerpb.StoreFailure_OFFSET_MISMATCH:
+		return port.ErrOffsetMismatch
 	case f.GetKind() == peerpb.StoreFailure_NO_PATH:
 		return errNoPath
 	case f.GetKind() == peerpb.StoreFailure_UNAVAILABLE:
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -105,14 +105,24 @@
 	return first, nil
 }
 
-func (p *fakePath) AppendAt(ctx context.Context, _ port.Partition, offset int64, records [][]byte) error {
-	if _, err := p.begin(ctx); err != nil {
+func (p *fakePath) AppendAt(ctx context.Context, at port.Partition, offset int64, records [][]byte) error {
+	m, err := p.begin(ctx)
+	if err != nil {
 		return err
 	}
-	if offset != 7 {
+	if at != partition {
+		return errors.New("unexpected arguments of AppendAt")
+	}
+	p.fakeStore.mu.Lock()
+	matches := offset == int64(len(p.fakeStore.records))
+	p.fakeStore.mu.Unlock()
+	if !matches {
 		return port.ErrOffsetMismatch
 	}
 	p.append(records)
+	if m == losesResponse {
+		return port.ErrOutcomeUnknown
+	}
 	return nil
 }
 
@@ -215,6 +225,32 @@
 	t.Fatal(failure)
 }
 
+// Guards against conditional appends that fail while only the own path is down, against a
+// condition that is lost on the way through a peer, and against an append that takes effect
+// twice because its first response was lost.
+func TestConditionalAppendThroughPeer(t *testing.T) {
+	for name, m := range map[string]mode{"refused": refusesCalls, "unresponsive": unresponsive, "responses lost": losesResponse} {
+		t.Run(name, func(t *testing.T) {
+			store := &fakeStore{}
+			a, b := startInstance(t, "a", store), startInstance(t, "b", store)
+			a.setPeers(b)
+			a.path.set(m)
+			err := a.AppendAt(testContext(t), partition, 0, [][]byte{[]byte("one")})
+			if lost := m == losesResponse; lost != errors.Is(err, port.ErrOffsetMismatch) || !lost && err != nil {
+				t.Fatalf("append at the end: %v", err)
+			}
+			if err := a.AppendAt(testContext(t), partition, 0, [][]byte{[]byte("two")}); !errors.Is(err, port.ErrOffsetMismatch) {
+				t.Fatalf("append at a passed offset: %v", err)
+			}
+			store.mu.Lock()
+			defer store.mu.Unlock()
+			if len(store.records) != 1 || string(store.records[0]) != "one" {
+				t.Fatalf("records %q", store.records)
+			}
+		})
+	}
+}
+
 // Guards against an instance missing jobs, configurations and leaving servers while the
 // store refuses its calls or does not respond to them, but serves the other instances.
 func TestCallsThroughPeerWhileOwnPathIsDown(t *testing.T) {
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -51,6 +51,14 @@
 	return &peerpb.StoreAppended{First: first, Failure: encodeFailure(err)}, nil
 }
 
+// AppendAt implements peerpb.DRPCStoreServer.
+func (s *server) AppendAt(ctx context.Context, in *peerpb.StoreAppendAt) (*peerpb.StoreAppended, error) {
+	_, err := serveCall(ctx, s.store, 0, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, s.store.ownPath.AppendAt(ctx, decodePartition(in.GetPartition()), in.GetOffset(), in.GetRecords())
+	})
+	return &peerpb.StoreAppended{First: in.GetOffset(), Failure: encodeFailure(err)}, nil
+}
+
 // Read implements peerpb.DRPCStoreServer.
 func (s *server) Read(ctx context.Context, in *peerpb.StoreRead) (*peerpb.StorePage, error) {
 	wait := milliseconds(in.GetWaitMs())
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -104,15 +104,21 @@
 		})
 }
 
-// AppendAt implements port.Store. The call is made on the own path only and fails at once
-// while that is down: its caller has to read the partition again after each failure.
+// AppendAt implements port.Store. If the call takes effect on one path and its response is
+// lost, the call on another path finds that the partition ends elsewhere: the caller has to
+// read the partition after ErrOffsetMismatch.
 func (s *Store) AppendAt(ctx context.Context, p port.Partition, offset int64, records [][]byte) error {
-	if !s.OwnPathUp() {
-		return fmt.Errorf("%w: the own path to the store is down", port.ErrUnavailable)
-	}
-	_, err := callOwnPath(ctx, s, 0, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, s.ownPath.AppendAt(ctx, p, offset, records)
-	})
+	_, err := callWithFallback(ctx, s, 0,
+		func(ctx context.Context) (struct{}, error) {
+			return struct{}{}, s.ownPath.AppendAt(ctx, p, offset, records)
+		},
+		func(ctx context.Context, c peerpb.DRPCStoreClient) (struct{}, error) {
+			out, err := c.AppendAt(ctx, &peerpb.StoreAppendAt{Partition: encodePartition(p), Records: records, Offset: offset})
+			if err != nil {
+				return struct{}{}, err
+			}
+			return struct{}{}, decodeFailure(out.GetFailure())
+		})
 	return err
 }
 
