node/serve: online requests before the records of all jobs after a start

An instance on 0.144 cores read the records of all jobs (18 us each, thousands) at the same time as the configuration and the servers that it needs to be ready. Change: the job index is followed once the instance is ready, after 1 s at the latest.

--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -54,6 +54,8 @@
 	// exitMargin is the part of the grace period that is reserved for the exit of the
 	// process.
 	exitMargin = 400 * time.Millisecond
+	// maxTaskDelay is the time after which tasks start even if the instance is not ready.
+	maxTaskDelay = time.Second
 	// minTaskRestartDelay and maxTaskRestartDelay bound the delay before a background task
 	// that panicked is started again.
 	minTaskRestartDelay = 100 * time.Millisecond
@@ -255,11 +257,28 @@
 	servers := &fleet.Follower[serving.Server]{Name: "servers", Feed: i.feeds.Servers, Apply: i.view.ApplyServers, OnRead: i.view.RecordServersRead}
 	return []backgroundTask{
 		{"configuration", config.Run}, {"servers", servers.Run}, {"datagrams", i.group.Receive}, {"reports", i.group.SendReports},
-		{"job index", i.index.Follow}, {"job index appends", i.index.RunAppends}, {"items", i.runner.Run}, {"expiry", i.expireLoop},
+		{"job index", i.afterReady(i.index.Follow)}, {"job index appends", i.index.RunAppends}, {"items", i.runner.Run}, {"expiry", i.expireLoop},
 		{"store probes", i.store.RunProbes}, {"instances", func(ctx context.Context) { i.group.Announce(ctx, announceWait) }},
 	}
 }
 
+// afterReady delays a task until the instance is ready, at most for maxTaskDelay. An instance
+// that has just started serves online requests earlier if it does not read the records of
+// all jobs at the same time: on a small host that takes most of a second.
+func (i *Instance) afterReady(task func(context.Context)) func(context.Context) {
+	return func(ctx context.Context) {
+		timer := time.NewTimer(maxTaskDelay)
+		defer timer.Stop()
+		select {
+		case <-i.view.ReadyNotify():
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		task(ctx)
+	}
+}
+
 // runTask runs a task until ctx is done. A task that panics is started again after a delay,
 // and the others go on.
 func runTask(ctx context.Context, task backgroundTask) {
