--- a/node/cmd/capacity/main.go
+++ b/node/cmd/capacity/main.go
@@ -1,5 +1,5 @@
 // Command capacity measures the cost of each role of an instance at several sizes and
-// generates docs/CAPACITY.md, which extrapolates the costs to the planned size.
+// generates docs/measurements/run-mechanisms.md, which extrapolates the costs to the planned size.
 //
 // Everything runs in one process with small stand-ins. Processor time is that of the
 // process (getrusage), including the stand-ins unless the page says otherwise. Bytes are
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -189,7 +189,7 @@
 	return nodes[slices.IndexFunc(nodes, func(n *node) bool { return n.name == hub.name })]
 }
 
-// fleet is the load that a test has placed, by server.
+// placedLoad is the load that a test has placed, by server.
 type placedLoad struct {
 	mu     sync.Mutex
 	counts map[string]int
--- a/node/peers/place.go
+++ b/node/peers/place.go
@@ -32,17 +32,13 @@
 	case self:
 		return g.placeAsHub(q)
 	case hub != nil:
-		lease, replied := g.askHub(hub, q)
-		if lease != nil {
+		if lease := g.askHub(hub, q); lease != nil {
 			return lease, true
 		}
-		if replied && q.Class == balance.Batch {
-			return nil, false // no server has a free slot
-		}
 	}
 	if q.Class == balance.Batch {
-		// Only a hub knows which slots are granted. Without a reply the request waits until
-		// another instance is the hub, a few seconds at most.
+		// No slot is free, or no hub has replied. Only a hub knows which slots are granted, so
+		// the request waits until another instance is the hub, a few seconds at most.
 		return nil, false
 	}
 	return g.opt.View.Pick(q)
@@ -78,7 +74,7 @@
 
 // askHub asks a hub for a server. It returns no lease if the hub has no server for the
 // request, picks one that this instance would not use, or does not reply.
-func (g *Group) askHub(hub *peer, q balance.Query) (lease *fleet.Lease, replied bool) {
+func (g *Group) askHub(hub *peer, q balance.Query) *fleet.Lease {
 	var avoid []uint32
 	for _, id := range g.opt.View.ServersToAvoid(q) {
 		avoid = append(avoid, hash(id))
@@ -92,7 +88,7 @@
 	g.mu.Unlock()
 	if !to.IsValid() {
 		g.finishRequest(hub, sequence, false)
-		return nil, false
+		return nil
 	}
 	g.send(kindServerRequest, &serverRequest{
 		Name: g.opt.Name, Sequence: sequence, Service: q.Service, Class: q.Class, AtMostOnce: q.AtMostOnce, Headroom: q.Headroom, Avoid: avoid, DataCentre: q.DataCentre,
@@ -103,11 +99,11 @@
 	select {
 	case reply := <-replies:
 		g.recordHubReply(hub, true)
-		return g.acceptGrant(hub, &reply, q), true
+		return g.acceptGrant(hub, &reply, q)
 	case <-timer.C:
 		g.recordHubReply(hub, false)
 		g.finishRequest(hub, sequence, true)
-		return nil, false
+		return nil
 	}
 }
 
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -179,15 +179,15 @@
 	if c, ok := tb.Pick(due, q); !ok || c.Server.ID != "s00" {
 		t.Fatal("no trial request after the backoff")
 	}
-	if eligible, _ := tb.rate(due, q); len(eligible) != 0 {
+	if eligible, _ := tb.evaluate(due, q); len(eligible) != 0 {
 		t.Fatal("two trial requests at once")
 	}
-	if eligible, _ := tb.rate(due.Add(trialTimeout), q); len(eligible) != 1 {
+	if eligible, _ := tb.evaluate(due.Add(trialTimeout), q); len(eligible) != 1 {
 		t.Fatal("no further trial request after one with an unknown outcome")
 	}
 	tb.UpdatePeer(due, "peer", map[string]Load{"s00": {}}, 0)
 	tb.UpdatePeer(due, "peer", map[string]Load{"s00": {OutcomeCounts: OutcomeCounts{Answered: 1}}}, 0)
-	if eligible, _ := tb.rate(due, Query{Service: "svc", AtMostOnce: true}); len(eligible) != 1 {
+	if eligible, _ := tb.evaluate(due, Query{Service: "svc", AtMostOnce: true}); len(eligible) != 1 {
 		t.Fatal("a server that answered a peer is not eligible")
 	}
 }
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -133,7 +133,7 @@
 	if q.Class == Batch && t.moreUrgentWait(now, q) {
 		return Choice{}, false
 	}
-	candidates, unreachable := t.rate(now, q)
+	candidates, unreachable := t.evaluate(now, q)
 	if len(candidates) == 0 {
 		if q.Class == Batch {
 			t.recordBatchWait(now, q)
@@ -152,10 +152,10 @@
 	return best.choice(), true
 }
 
-// rate returns the servers that may get the request with their scores, in a buffer that
+// evaluate returns the servers that may get the request with their scores, in a buffer that
 // the next call reuses. If none may, unreachable is the one among the servers that seem
 // unreachable whose backoff ends first.
-func (t *Table) rate(now time.Time, q Query) (candidates []candidate, unreachable *serverState) {
+func (t *Table) evaluate(now time.Time, q Query) (candidates []candidate, unreachable *serverState) {
 	group := t.services[q.Service]
 	if group == nil {
 		return nil, nil
