--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -85,6 +85,8 @@
 	// firstLatency is the time from the arrival of the request until its response, or the
 	// first event of it, was forwarded.
 	firstLatency time.Duration
+	// progress is the progress of the current attempt.
+	progress progress
 	// servers holds the IDs of the servers in the order of the attempts, for the log.
 	servers []string
 	// errorResponse is the latest error response of a server. It is forwarded if no
@@ -93,6 +95,21 @@
 	lastErr       error
 }
 
+// progress is how far the response to one attempt has come.
+type progress struct {
+	// events counts the complete events of a stream; firstEventAt is the time of the first.
+	events       int
+	firstEventAt time.Time
+}
+
+// recordEvent records a complete event.
+func (p *progress) recordEvent(now time.Time) {
+	if p.events == 0 {
+		p.firstEventAt = now
+	}
+	p.events++
+}
+
 // attemptResult is the result of sending a request to one server.
 type attemptResult uint8
 
@@ -182,6 +199,7 @@
 	defer cancel(nil)
 	defer lease.End(balance.Abandoned) // after a panic; otherwise the lease has ended
 	c.sentCount++
+	c.progress = progress{}
 	c.tried[lease.Server.ID] = true
 	c.servers = append(c.servers, lease.Server.ID)
 	klog.InfoS("server picked", "id", c.request.ID, "server", lease.Server.ID, "by", lease.Picker, "attempt", c.sentCount, "busy", lease.InFlight,
@@ -271,7 +289,8 @@
 	c.lastErr = err
 	c.gateway.Metrics.count("attempt_failed")
 	klog.InfoS("attempt failed", "id", c.request.ID, "server", lease.Server.ID, "outcome", outcome, "busy", lease.InFlight,
-		"slots", lease.Slots, "serversAge", c.gateway.View.ServersAge(), "lastEvent", c.lastEvent, "err", err)
+		"slots", lease.Slots, "serversAge", c.gateway.View.ServersAge(), "lastEvent", c.lastEvent, "events", c.progress.events,
+		"promptParts", c.request.PromptPrefix, "err", err)
 }
 
 // serverRequest builds the request for one server with the headers of this attempt.
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -99,11 +99,11 @@
 	if !c.mayTryAnother() {
 		gapTimeout = c.lastAttemptTimeout()
 	}
-	events, lastReceived, count := NewEventReader(response), start, 0
+	events, lastReceived := NewEventReader(response), start
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if count == 0 && !c.headerWritten {
+			if c.progress.events == 0 && !c.headerWritten {
 				return c.recordBrokenAttempt(ctx, lease, lastReceived, errors.New("event stream without events"))
 			}
 			c.runCount++
@@ -118,13 +118,13 @@
 		}
 		timer.Reset(gapTimeout)
 		now := time.Now()
-		if count == 0 {
+		if c.progress.events == 0 {
 			lease.ResponseStarted()
 		} else {
 			lease.RecordStepTime(now.Sub(lastReceived))
 		}
 		lastReceived = now
-		count++
+		c.progress.recordEvent(now)
 		if !c.forwardEvent(response, event) {
 			lease.End(balance.Abandoned)
 			c.lastErr = errCallerDisconnected
