--- a/node/gateway/fakes_test.go
+++ b/node/gateway/fakes_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -32,6 +33,9 @@
 		r.ResumeAfter, _ = strconv.ParseInt(v, 10, 64)
 		r.IsResume = true
 	}
+	if v := h.Get("Parts"); v != "" {
+		r.PromptPrefix = strings.Split(v, ",")
+	}
 	return r
 }
 
@@ -173,10 +177,28 @@
 	}
 }
 
+// recover replaces the servers by new ones at the same addresses.
+func (f *fakeFleet) recover() {
+	var entries []port.Entry[serving.Server]
+	for _, e := range f.entries {
+		next := *e.Value
+		next.Started++
+		entries = append(entries, port.Entry[serving.Server]{Key: e.Key, Value: &next})
+	}
+	f.entries = entries
+	f.view.ApplyServers(entries, true)
+}
+
 // send sends a request as one attempt of a caller.
 func (f *fakeFleet) send(t *testing.T, header ...string) (*http.Response, string, error) {
 	t.Helper()
-	r, err := http.NewRequest(http.MethodPost, f.url+"/p/x?q=1", nil)
+	return f.sendBody(t, "", header...)
+}
+
+// sendBody sends a request with a body.
+func (f *fakeFleet) sendBody(t *testing.T, body string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, f.url+"/p/x?q=1", strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -190,8 +212,8 @@
 		return nil, "", err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return response, string(body), err
+	received, err := io.ReadAll(response.Body)
+	return response, string(received), err
 }
 
 func fullResponse(status int, body string, header ...string) string {
