policy/poison: blame parts of prompts for crashes, on what the crashes have in common

Cause: only whole requests could be blamed, by a hash of method, path and body. Besides, runs that had gone on for long counted as well, a request could be blocked for crashes that others explain, and hubs kept a block alive by repeating it to each other. Change: policy/poison keeps, for each broken run without progress, the request and the shared parts of its prompt. It blocks the set of parts that the crashes have in common and no answer speaks for, if nothing else explains them as well; crashes under a blocked set no longer count against others. Instances report broken runs to the hubs, with the age of their answers for the parts; hubs send verdicts at once and in each roster with the time left, and ask for answers to what they suspect. Blocks last a minute, are renewed by the next crash for twice as long, and end with an answer. A retry is checked too. Items are never blocked; their answers count.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -48,11 +48,17 @@
 	// maxQueueWaitShare is the share of the time left until the deadline that a request may
 	// be expected to wait in a server's queue; beyond it the request is rejected at once.
 	maxQueueWaitShare = 0.5
+	// beginTime is the time after the first event in which a crash may be due to the beginning
+	// of the response.
+	beginTime = 100 * time.Millisecond
 	// deadlineMargin is the time before the deadline from which a request counts as timed
 	// out, for the writing of the final response.
 	deadlineMargin = 20 * time.Millisecond
 )
 
+// causeBlocked is the cause of the refusal of a request under which servers crash.
+const causeBlocked = "held back: servers crash under such requests"
+
 // Causes for which an attempt is cancelled or a request is given up.
 var (
 	errServerTimeout      = errors.New("gateway: server did not respond in time")
@@ -71,8 +77,8 @@
 	arrived  time.Time
 	deadline time.Time
 
-	fingerprint poison.Fingerprint
-	service     string
+	subjects poison.Request
+	service  string
 	// tried holds the IDs of the servers that were sent the request.
 	tried map[string]bool
 	// sentCount counts the servers that were sent the request, runCount those among them
@@ -100,6 +106,15 @@
 	// events counts the complete events of a stream; firstEventAt is the time of the first.
 	events       int
 	firstEventAt time.Time
+	// answered is set once the response is complete and shows that the server ran the
+	// request to its end.
+	answered bool
+}
+
+// underway reports whether the server has gone on with its response for long enough to show
+// that it does not crash when it begins one.
+func (p *progress) underway(now time.Time) bool {
+	return p.events > 0 && now.Sub(p.firstEventAt) >= beginTime
 }
 
 // recordEvent records a complete event.
@@ -132,6 +147,11 @@
 	defer cancel()
 	c.limitWrites()
 	for {
+		if c.sentCount > 0 && !c.headerWritten && c.gateway.Containment.Blocked(c.subjects) {
+			c.gateway.Metrics.count("blocked")
+			c.fail(causeBlocked)
+			return
+		}
 		lease, reason := c.acquireServer()
 		if reason != "" {
 			c.fail(reason)
@@ -260,8 +280,8 @@
 		lease.End(balance.Unreachable)
 		if !errors.Is(err, exchange.ErrNotSent) {
 			c.gateway.Pool.CloseIdle(lease.Server.Address)
-			if cause == nil {
-				c.gateway.Containment.RecordFailure(c.fingerprint, lease.Server.ID)
+			if cause == nil && !c.progress.underway(time.Now()) {
+				c.gateway.Containment.RecordBreak(c.subjects, lease.Server)
 			}
 		}
 	case time.Since(lastReceived) > unresponsiveAfter:
@@ -319,7 +339,9 @@
 
 // recordDelivered logs and counts a request whose response was forwarded.
 func (c *call) recordDelivered(outcome string) {
-	c.gateway.Containment.RecordSuccess(c.fingerprint)
+	if c.progress.answered {
+		c.gateway.Containment.RecordAnswer(c.subjects)
+	}
 	c.gateway.Metrics.count("delivered")
 	c.gateway.Metrics.first(c.route.Name).Record(c.firstLatency)
 	c.gateway.Metrics.total(c.route.Name).Record(time.Since(c.arrived))
--- a/node/gateway/fakes_test.go
+++ b/node/gateway/fakes_test.go
@@ -65,28 +65,33 @@
 
 func (p localPlacer) Place(q balance.Query) (*fleet.Lease, bool) { return p.view.Pick(q) }
 
-// localContainment tracks the failures that one instance sees.
+// localContainment tracks the failures that one instance sees. Its clock advances by a second
+// with each of them.
 type localContainment struct {
 	mu      sync.Mutex
 	tracker *poison.Tracker
+	now     time.Time
+	crashes uint32
 }
 
-func (l *localContainment) Blocked(f poison.Fingerprint) bool {
+func (l *localContainment) Blocked(r poison.Request) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.tracker.Blocked(time.Now(), f)
+	return l.tracker.Blocked(l.now, r)
 }
 
-func (l *localContainment) RecordFailure(f poison.Fingerprint, server string) {
+func (l *localContainment) RecordBreak(r poison.Request, _ *serving.Server) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tracker.RecordFailure(time.Now(), f, uint32(server[1]))
+	l.now = l.now.Add(time.Second)
+	l.crashes++
+	l.tracker.RecordBreak(l.now, r, l.crashes)
 }
 
-func (l *localContainment) RecordSuccess(f poison.Fingerprint) {
+func (l *localContainment) RecordAnswer(r poison.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tracker.RecordSuccess(f)
+	l.tracker.RecordAnswer(l.now, r)
 }
 
 // serverScript responds to a request to any of the servers; n is the number of the
@@ -148,7 +153,7 @@
 	pool := exchange.NewPool(exchange.Options{})
 	t.Cleanup(pool.Close)
 	f.entries = entries
-	f.gateway = &Gateway{View: f.view, Pool: pool, Protocol: protocol{}, Jobs: noJobs{}, Placer: localPlacer{f.view}, Containment: &localContainment{tracker: poison.NewTracker()}, Metrics: NewMetrics()}
+	f.gateway = &Gateway{View: f.view, Pool: pool, Protocol: protocol{}, Jobs: noJobs{}, Placer: localPlacer{f.view}, Containment: &localContainment{tracker: poison.NewTracker(0)}, Metrics: NewMetrics()}
 	front := httptest.NewUnstartedServer(f.gateway)
 	front.Config.ConnContext = WithConn
 	front.Start()
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -62,6 +62,7 @@
 		c.lastErr = fmt.Errorf("status %d for a resumed stream", response.Status)
 		return mayHaveRun
 	}
+	c.progress.answered = response.Status < http.StatusBadRequest
 	c.firstLatency = time.Since(c.arrived)
 	result.writeTo(c.writer)
 	return delivered
@@ -85,6 +86,7 @@
 	}
 	if err == nil {
 		lease.End(balance.Answered)
+		c.progress.answered = response.Status < http.StatusBadRequest
 		return delivered
 	}
 	lease.End(balance.Abandoned)
@@ -108,6 +110,7 @@
 			}
 			c.runCount++
 			lease.End(balance.Answered)
+			c.progress.answered = c.progress.events > 0
 			return delivered
 		}
 		if err != nil {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -52,11 +52,12 @@
 // Containment blocks the requests that crash the servers that run them.
 type Containment interface {
 	// Blocked reports whether the request is blocked.
-	Blocked(f poison.Fingerprint) bool
-	// RecordFailure records that a server failed while it ran the request.
-	RecordFailure(f poison.Fingerprint, server string)
-	// RecordSuccess records a complete response to the request.
-	RecordSuccess(f poison.Fingerprint)
+	Blocked(r poison.Request) bool
+	// RecordBreak records that a server failed while it ran a request, before the response
+	// had shown that the request crashes no server.
+	RecordBreak(r poison.Request, server *serving.Server)
+	// RecordAnswer records a complete answer to a request.
+	RecordAnswer(r poison.Request)
 }
 
 // Gateway is the HTTP handler for callers' requests.
@@ -148,9 +149,11 @@
 		arrived: arrived, deadline: deadline, tried: map[string]bool{},
 	}
 	c.lastEvent = request.ResumeAfter
-	c.fingerprint = fingerprint(r, body)
-	if g.Containment.Blocked(c.fingerprint) {
-		g.reject(w, request.ID, http.StatusServiceUnavailable, blockedRetryAfter, "held back: it broke several servers")
+	c.subjects = poison.Request{Whole: fingerprint(r, body), Parts: SharedParts(&request)}
+	if g.Containment.Blocked(c.subjects) {
+		g.Metrics.count("blocked")
+		klog.InfoS("request blocked", "id", request.ID, "promptParts", request.PromptPrefix)
+		g.reject(w, request.ID, http.StatusServiceUnavailable, blockedRetryAfter, causeBlocked)
 		return
 	}
 	c.run()
@@ -226,12 +229,22 @@
 }
 
 // fingerprint identifies requests that differ only in their ids.
-func fingerprint(r *http.Request, body []byte) poison.Fingerprint {
+func fingerprint(r *http.Request, body []byte) poison.Subject {
 	h := xxhash.New()
 	// Writes to a hash never fail.
 	_, _ = h.WriteString(r.Method + " " + r.Host + r.RequestURI + "\n")
 	_, _ = h.Write(body)
-	return poison.Fingerprint(h.Sum64())
+	return poison.Subject(h.Sum64())
+}
+
+// SharedParts returns the parts of a request's prompt that other requests may share: all but
+// the last one.
+func SharedParts(request *serving.Request) []poison.Subject {
+	var parts []poison.Subject
+	for i := range len(request.PromptPrefix) - 1 {
+		parts = append(parts, poison.Subject(xxhash.Sum64String("part\x00"+request.PromptPrefix[i])))
+	}
+	return parts
 }
 
 // Host returns the request's host without a port.
--- a/node/jobs/fixture_test.go
+++ b/node/jobs/fixture_test.go
@@ -24,6 +24,7 @@
 	"github.com/jacinthnotch/jacinthnotch/platform"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/pathselect"
+	"github.com/jacinthnotch/jacinthnotch/policy/poison"
 	"github.com/jacinthnotch/jacinthnotch/standin/store"
 )
 
@@ -232,6 +233,11 @@
 	return i.reachability
 }
 
+// noAnswers records nothing.
+type noAnswers struct{}
+
+func (noAnswers) RecordAnswer(poison.Request) {}
+
 // CallTimeout implements jobs.StorePath.
 func (i *instance) CallTimeout() time.Duration { return pathselect.NewPaths().AttemptTimeout() }
 
@@ -250,7 +256,7 @@
 	i := &instance{cluster: s, name: name, index: jobs.NewIndex(client)}
 	i.runner = &jobs.Runner{
 		Index: i.index, Blobs: blobs, View: view, Pool: pool, Protocol: protocol{}, Codec: protocol{}, Members: s.members,
-		Placer: localPlacer{view}, Metrics: &jobs.Metrics{}, Self: joblog.Holder{Instance: name, Incarnation: incarnation},
+		Placer: localPlacer{view}, Metrics: &jobs.Metrics{}, Answers: noAnswers{}, Self: joblog.Holder{Instance: name, Incarnation: incarnation},
 	}
 	i.runner.Init()
 	service := &jobs.Service{
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/poison"
 )
 
 const (
@@ -254,6 +255,7 @@
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && run.hasOutput {
 			lease.End(balance.Answered)
+			r.recordAnswer(item)
 			r.Metrics.count("completed")
 			r.logRun(item, run, lease, "completed", nil)
 			return runOutcome{result: &joblog.Result{Job: run.job, Item: run.index, ID: item.ID, State: joblog.Completed}, output: run.output}
@@ -285,6 +287,18 @@
 	}
 }
 
+// recordAnswer records that the parts of an item's prompt crash no server.
+func (r *Runner) recordAnswer(item *Item) {
+	h := http.Header{}
+	for name, value := range item.Header {
+		h.Set(name, value)
+	}
+	request := r.Protocol.ParseRequest(h)
+	if parts := gateway.SharedParts(&request); len(parts) > 0 {
+		r.Answers.RecordAnswer(poison.Request{Parts: parts})
+	}
+}
+
 // writeResult writes the result of an item to the store. It retries until the write
 // succeeds, the item is no longer needed or ctx is done.
 func (r *Runner) writeResult(ctx context.Context, outcome runOutcome) {
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/leastslack"
+	"github.com/jacinthnotch/jacinthnotch/policy/poison"
 	"github.com/jacinthnotch/jacinthnotch/policy/takeover"
 )
 
@@ -53,6 +54,12 @@
 	Alive() map[string]uint32
 }
 
+// Answers records which requests crash no servers.
+type Answers interface {
+	// RecordAnswer records a complete answer to a request.
+	RecordAnswer(r poison.Request)
+}
+
 // Runner runs the items of the jobs that this instance holds.
 type Runner struct {
 	Index    *Index
@@ -64,6 +71,8 @@
 	Members  Members
 	Placer   gateway.Placer
 	Metrics  *Metrics
+	// Answers is told of the completed items.
+	Answers Answers
 	// Self identifies this instance.
 	Self joblog.Holder
 
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -7,7 +7,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
-	"github.com/jacinthnotch/jacinthnotch/policy/poison"
 )
 
 const (
@@ -26,8 +25,6 @@
 	// hubWarmUp is the time for which a new hub grants no slots to batch requests: all
 	// instances report their load to it within that time.
 	hubWarmUp = maxReportInterval
-	// maxReportedBlocked limits the blocked requests in a report.
-	maxReportedBlocked = 64
 )
 
 // hubState is the state of an instance as a hub.
@@ -124,10 +121,11 @@
 		}
 	}
 	roster := g.hub.roster.changesSince(now.Add(-rosterHistory))
-	roster.Name, roster.Incarnation, roster.Blocked = g.opt.Name, g.opt.Incarnation, g.blocked(now)
+	roster.Name, roster.Incarnation = g.opt.Name, g.opt.Incarnation
 	servers := g.serverIDs()
 	g.mu.Unlock()
 	if len(rosterTo) > 0 {
+		g.containment.addTo(now, roster)
 		g.send(kindRoster, roster, rosterTo...)
 	}
 	if len(totalsTo) > 0 {
@@ -144,13 +142,6 @@
 	return now.Add(hubTickInterval)
 }
 
-// blocked returns the requests that are blocked because they crash servers. The lock must
-// be held.
-func (g *Group) blocked(now time.Time) []poison.Fingerprint {
-	list := g.tracker.ListBlocked(now)
-	return list[:min(maxReportedBlocked, len(list))]
-}
-
 // heardInstances returns the instances from which this one receives datagrams and which
 // are not leaving, itself included, by the hash of their names. The lock must be held.
 func (g *Group) heardInstances(now time.Time) map[uint32]liveInstance {
@@ -175,12 +166,13 @@
 	supported := p.protocol >= protocolRosters
 	g.hub.roster.update(now, g.heardInstances(now))
 	full := g.hub.roster.full()
-	full.Name, full.Incarnation, full.Blocked = g.opt.Name, g.opt.Incarnation, g.blocked(now)
+	full.Name, full.Incarnation = g.opt.Name, g.opt.Incarnation
 	g.mu.Unlock()
 	if !supported {
 		g.sendHubReport([]netip.AddrPort{to})
 		return
 	}
+	g.containment.addTo(now, full)
 	g.send(kindRoster, full, to)
 }
 
@@ -206,14 +198,12 @@
 			g.entriesMissing = true
 		}
 	}
-	for _, f := range report.Blocked {
-		g.tracker.Block(now, f)
-	}
 	ask := !complete && now.Sub(p.rosterAskedAt) >= rosterRequestInterval
 	if ask {
 		p.rosterAskedAt = now
 	}
 	g.mu.Unlock()
+	g.onContainmentOfHub(now, report, from)
 	if ask {
 		g.send(kindRosterRequest, &rosterRequest{Name: g.opt.Name}, from)
 	}
@@ -240,8 +230,8 @@
 	for _, i := range g.heardInstances(now) {
 		report.LiveInstances = append(report.LiveInstances, i)
 	}
-	report.Blocked = g.blocked(now)
 	g.mu.Unlock()
+	report.Blocked = g.containment.blockedWhole(now)
 	g.send(kindHubReport, report, to...)
 }
 
@@ -255,12 +245,10 @@
 			p.listedAt, p.Incarnation, p.reachesStore = now, i.Incarnation, i.ReachesStore
 		}
 	}
-	for _, f := range report.Blocked {
-		g.tracker.Block(now, f)
-	}
 	isHub := g.hub.active
 	loads := decodeLoads(report.Loads, g.serverIDs().byHash)
 	g.mu.Unlock()
+	g.adoptWhole(now, report.Blocked)
 	if !isHub {
 		g.opt.View.UpdateHubTotal(loads)
 	}
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -25,6 +25,8 @@
 	kindRoster
 	kindRosterRequest
 	kindTotals
+	kindBrokenRun
+	kindContainment
 )
 
 // Versions of the protocol between instances. An instance states the version that it
@@ -73,8 +75,8 @@
 	Name          string
 	Loads         []load // the total of all instances
 	LiveInstances []liveInstance
-	// Blocked are the requests that are blocked because they crash servers.
-	Blocked []poison.Fingerprint
+	// Blocked are the whole requests that are blocked because they crash servers.
+	Blocked []poison.Subject
 }
 
 // liveInstance is an instance from which a hub receives datagrams.
@@ -123,13 +125,42 @@
 	Sequence  uint64
 }
 
-// requestOutcome reports that a server failed while it ran a request or, if Answered is
-// set, that a request for which such failures are recorded got a complete response.
+// requestOutcome reports that a request got a complete answer or, from instances that do not
+// know brokenRun, that a server failed while it ran a request.
 type requestOutcome struct {
-	_           struct{} `cbor:",toarray"`
-	Fingerprint poison.Fingerprint
-	Server      uint32
-	Answered    bool
+	_       struct{} `cbor:",toarray"`
+	Subject poison.Subject
+	Server  uint32
+	// Answered is set if Subject, a request or a part of its prompt, got a complete answer.
+	Answered bool
+	// AgeMs is the time since the answer.
+	AgeMs int64
+}
+
+// brokenRun reports that a server failed while it ran a request.
+type brokenRun struct {
+	_      struct{} `cbor:",toarray"`
+	Server uint32
+	Whole  poison.Subject
+	Parts  []poison.Subject
+	// Answered are the parts for which the instance has a complete answer, with its age.
+	Answered []requestOutcome
+}
+
+// blockEntry is a block in a message.
+type blockEntry struct {
+	_        struct{} `cbor:",toarray"`
+	Subjects []poison.Subject
+	// RemainingMs is the time until its end, and DurationMs how long it lasts.
+	RemainingMs, DurationMs int64
+}
+
+// containmentReport is a hub's report on a change of what is blocked.
+type containmentReport struct {
+	_        struct{} `cbor:",toarray"`
+	Blocks   []blockEntry
+	Cleared  []poison.Subject
+	Released [][]poison.Subject
 }
 
 // hash returns the hash that stands for the id of a server or the name of an instance in
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -14,7 +14,6 @@
 	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/pathselect"
-	"github.com/jacinthnotch/jacinthnotch/policy/poison"
 )
 
 // Instance is an instance's entry in the store.
@@ -90,7 +89,8 @@
 	servers serverList
 	// preemptions keeps one order from preempting two batch requests.
 	preemptions preemptionLog
-	tracker     *poison.Tracker
+	// containment has its own lock.
+	containment containment
 	// entriesMissing is set when a roster names an instance whose entry is not known.
 	entriesMissing bool
 	// alive is the result of Alive at aliveAt.
@@ -109,7 +109,8 @@
 	}
 	g := &Group{
 		opt: opt, conn: opt.Conn, wakeups: make(chan struct{}, 1), peers: map[string]*peer{}, peersByHash: map[uint32]*peer{},
-		pending: map[uint64]chan grant{}, preemptions: newPreemptionLog(), tracker: poison.NewTracker(),
+		pending: map[uint64]chan grant{}, preemptions: newPreemptionLog(),
+		containment: newContainment(opt.Name),
 	}
 	opt.View.NotifyLoadChanges(g.wake)
 	return g, nil
@@ -158,7 +159,11 @@
 	case kindGrant:
 		return handle(raw, from, g.onGrant)
 	case kindRequestOutcome:
-		return handle(raw, from, func(o *requestOutcome, _ netip.AddrPort) { g.applyOutcome(o) })
+		return handle(raw, from, func(o *requestOutcome, _ netip.AddrPort) { g.onOutcome(o) })
+	case kindBrokenRun:
+		return handle(raw, from, func(b *brokenRun, _ netip.AddrPort) { g.onBrokenRun(b) })
+	case kindContainment:
+		return handle(raw, from, func(c *containmentReport, _ netip.AddrPort) { g.onContainment(time.Now(), c) })
 	case kindPreemption:
 		return handle(raw, from, func(p *preemption, _ netip.AddrPort) { g.preemptOwn(p) })
 	case kindRoster:
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -457,8 +457,8 @@
 	for i := range 390 {
 		report.LiveInstances = append(report.LiveInstances, liveInstance{Name: hash(fmt.Sprint("i", i)), Incarnation: 1 << 31, ReachesStore: true})
 	}
-	for i := range maxReportedBlocked {
-		report.Blocked = append(report.Blocked, poison.Fingerprint(i)<<32)
+	for i := range maxReportedBlocks {
+		report.Blocked = append(report.Blocked, poison.Subject(i)<<32)
 	}
 	raw, err := encode(kindHubReport, report)
 	if err != nil {
@@ -475,7 +475,9 @@
 		kindLoadReport: &loadReport{Name: "n", Loads: []load{{Server: 1, Online: 2}}}, kindHubReport: &hubReport{Name: "n", LiveInstances: []liveInstance{{Name: 1}}},
 		kindServerRequest: &serverRequest{Name: "n", Service: "svc", Avoid: []uint32{1}}, kindGrant: &grant{Sequence: 1}, kindPreemption: &preemption{Server: 1},
 		kindRoster: &rosterReport{Name: "n", Full: true, Changes: []rosterChange{{Instance: liveInstance{Name: 1}}}}, kindRosterRequest: &rosterRequest{Name: "n"},
-		kindTotals: &totals{Name: "n", Packed: []byte{1}},
+		kindTotals: &totals{Name: "n", Packed: []byte{1}}, kindRequestOutcome: &requestOutcome{Subject: 1, Answered: true},
+		kindBrokenRun:   &brokenRun{Server: 1, Whole: 2, Parts: []poison.Subject{3}, Answered: []requestOutcome{{Subject: 4, Answered: true}}},
+		kindContainment: &containmentReport{Blocks: []blockEntry{{Subjects: []poison.Subject{1}, RemainingMs: 1, DurationMs: 2}}, Cleared: []poison.Subject{2}},
 	} {
 		raw, err := encode(k, body)
 		if err != nil {
--- a/node/peers/roster.go
+++ b/node/peers/roster.go
@@ -130,8 +130,12 @@
 	// Full is set if Changes holds all live instances.
 	Full    bool
 	Changes []rosterChange
-	// Blocked are the requests that are blocked because they crash servers.
-	Blocked []poison.Fingerprint
+	// Blocked are the whole requests that are blocked because they crash servers, for
+	// instances that do not know Blocks.
+	Blocked []poison.Subject
+	Blocks  []blockEntry
+	// Suspected are the subjects for which the hub wants to know of answers.
+	Suspected []poison.Subject
 }
 
 // rosterChange is one change of a roster: an instance that is live, or has left.
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -137,7 +137,7 @@
 	self := joblog.Holder{Instance: s.Instance, Incarnation: i.incarnation}
 	i.runner = &jobs.Runner{
 		Index: i.index, Blobs: blobStore, View: i.view, Pool: i.pool, Protocol: p.Protocol, Codec: p.Protocol,
-		Members: group, Placer: group, Metrics: i.jobMetrics, Self: self,
+		Members: group, Placer: group, Metrics: i.jobMetrics, Answers: group, Self: self,
 	}
 	i.runner.Init()
 	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Containment: group, Metrics: gateway.NewMetrics()}
@@ -167,6 +167,7 @@
 func (i *Instance) readinessHandler() http.Handler {
 	metrics := new(expvar.Map).Init()
 	metrics.Set("gateway", i.gateway.Metrics.Map())
+	metrics.Set("containment", i.group.ContainmentMetrics())
 	metrics.Set("jobs", i.jobMetrics.Map())
 	metrics.Set("waiting_tokens", i.index.WaitingMetrics())
 	metrics.Set("store_calls", i.store.Map())
