--- a/domain/serving/request.go
+++ b/domain/serving/request.go
@@ -32,6 +32,9 @@
 	Signed bool
 	// Load is nil if the response does not report it.
 	Load *Load
+	// RateLimit is the number of requests a second that the server takes from all instances
+	// together; zero if it states none.
+	RateLimit float64
 	// KeepAliveTimeout is the idle time after which the server closes the connection;
 	// zero if not stated.
 	KeepAliveTimeout time.Duration
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -240,6 +240,16 @@
 	l.view.mu.Unlock()
 }
 
+// RecordRateLimit records the rate limit that the server states in a response, in requests a
+// second over all instances; zero means none.
+func (l *Lease) RecordRateLimit(limit float64) {
+	l.view.mu.Lock()
+	defer l.view.mu.Unlock()
+	if l.view.table.RecordRateLimit(time.Now(), l.Server.ID, limit) {
+		klog.InfoS("rate limit of a server", "server", l.Server.ID, "limit", limit)
+	}
+}
+
 // RecordStepTime records the time of one step of the response: the gap between two events,
 // or the whole time of a response that is not streamed.
 func (l *Lease) RecordStepTime(step time.Duration) {
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -233,6 +233,9 @@
 	}
 	defer response.Close()
 	parsed := c.gateway.Protocol.ParseResponse(response.Status, response.Header)
+	if parsed.Signed || parsed.RateLimit > 0 {
+		lease.RecordRateLimit(parsed.RateLimit)
+	}
 	if parsed.NotRun {
 		discardBody(response)
 		lease.End(balance.Refused)
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -154,6 +154,9 @@
 	}
 	defer response.Close()
 	parsed := r.Protocol.ParseResponse(response.Status, response.Header)
+	if parsed.Signed || parsed.RateLimit > 0 {
+		lease.RecordRateLimit(parsed.RateLimit)
+	}
 	switch {
 	case parsed.NotRun:
 		// A read error also makes Close discard the connection.
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -104,6 +104,9 @@
 	// stepTime is the moving average of the time of one step of an answer; zero before
 	// the first measurement.
 	stepTime time.Duration
+	// rateLimit is the rate limit that the server stated last, in requests a second over all
+	// instances; zero if it states none.
+	rateLimit float64
 	// surplusSince is when the server was first seen with more requests in flight than
 	// slots, zero while it has not; preemptedAt is the time of the last preemption there.
 	surplusSince, preemptedAt time.Time
@@ -459,6 +462,17 @@
 	}
 }
 
+// RecordRateLimit records the rate limit that a server states, in requests a second; zero means
+// none. It reports whether the limit has changed.
+func (t *Table) RecordRateLimit(_ time.Time, server string, limit float64) bool {
+	s := t.servers[server]
+	if s == nil || s.rateLimit == limit {
+		return false
+	}
+	s.rateLimit = limit
+	return true
+}
+
 // RecordStepTime records the time of one step of an answer: the gap between two events,
 // or the whole time of an answer that is not streamed.
 func (t *Table) RecordStepTime(server string, step time.Duration) {
