node/peers: what is new between instances travels in datagrams of its own kind

The comment said that fields may be added at the end. Change: containment reports and answers are kinds of their own, which older versions ignore; rosters, hub reports and outcomes have their old fields again.

--- a/node/peers/containment.go
+++ b/node/peers/containment.go
@@ -50,7 +50,7 @@
 	c.mu.Lock()
 	for _, p := range r.Parts {
 		if age, answered := c.tracker.AnswerAge(now, p); answered {
-			report.Answered = append(report.Answered, requestOutcome{Subject: p, Answered: true, AgeMs: age.Milliseconds()})
+			report.Answered = append(report.Answered, answer{Subject: p, AgeMs: age.Milliseconds()})
 		}
 	}
 	change := c.tracker.RecordBreak(now, r, report.Server)
@@ -68,7 +68,7 @@
 	change, reportable := c.tracker.RecordAnswer(now, r)
 	c.mu.Unlock()
 	for _, s := range reportable {
-		g.sendToHubs(kindRequestOutcome, &requestOutcome{Subject: s, Answered: true})
+		g.sendToHubs(kindAnswer, &answer{Subject: s})
 	}
 	g.publish(now, change)
 }
@@ -76,7 +76,7 @@
 // onBrokenRun applies a peer's report of a broken run.
 func (g *Group) onBrokenRun(report *brokenRun) {
 	for i := range report.Answered {
-		g.onOutcome(&report.Answered[i])
+		g.onAnswer(&report.Answered[i])
 	}
 	now, c := time.Now(), &g.containment
 	c.mu.Lock()
@@ -85,20 +85,24 @@
 	g.publish(now, change)
 }
 
-// onOutcome applies a peer's report of an answer or, of an older version, of a failure.
-func (g *Group) onOutcome(o *requestOutcome) {
+// onAnswer applies a peer's report of an answer.
+func (g *Group) onAnswer(a *answer) {
 	now, c := time.Now(), &g.containment
 	c.mu.Lock()
-	var change poison.Change
-	if o.Answered {
-		change = c.tracker.RecordAnswerFor(now, now.Add(-time.Duration(max(0, o.AgeMs))*time.Millisecond), o.Subject)
-	} else {
-		change = c.tracker.RecordBreak(now, poison.Request{Whole: o.Subject}, o.Server)
-	}
+	change := c.tracker.RecordAnswerFor(now, now.Add(-time.Duration(max(0, a.AgeMs))*time.Millisecond), a.Subject)
 	c.mu.Unlock()
 	g.publish(now, change)
 }
 
+// onOutcome applies the report of a peer of an older version.
+func (g *Group) onOutcome(o *requestOutcome) {
+	if o.Answered {
+		g.onAnswer(&answer{Subject: o.Whole})
+		return
+	}
+	g.onBrokenRun(&brokenRun{Server: o.Server, Whole: o.Whole})
+}
+
 // publish logs a change of what is blocked and, on a hub, sends it to all peers.
 func (g *Group) publish(now time.Time, change poison.Change) {
 	if change.Empty() {
@@ -135,9 +139,10 @@
 	}
 }
 
-// onContainment applies a hub's report on what is blocked and cleared. It is not passed on.
-func (g *Group) onContainment(now time.Time, report *containmentReport) {
-	c := &g.containment
+// onContainment applies a hub's report, which is not passed on, and tells the hub of answers
+// to what it suspects.
+func (g *Group) onContainment(report *containmentReport, from netip.AddrPort) {
+	now, c := time.Now(), &g.containment
 	var change poison.Change
 	c.mu.Lock()
 	for _, subjects := range report.Released {
@@ -149,53 +154,35 @@
 	for _, b := range report.Blocks {
 		change.Added = append(change.Added, c.tracker.Adopt(now, b.decode(now)).Added...)
 	}
-	c.mu.Unlock()
-	g.logChange(change)
-}
-
-// onContainmentOfHub applies what a roster says of blocks, and tells the hub of answers to
-// what it suspects.
-func (g *Group) onContainmentOfHub(now time.Time, report *rosterReport, from netip.AddrPort) {
-	c := &g.containment
-	if len(report.Blocks) > 0 {
-		g.onContainment(now, &containmentReport{Blocks: report.Blocks})
-	} else {
-		g.adoptWhole(now, report.Blocked)
-	}
-	var answered []*requestOutcome
-	c.mu.Lock()
+	var answers []*answer
 	for _, s := range report.Suspected {
 		if age, ok := c.tracker.AnswerAge(now, s); ok {
-			answered = append(answered, &requestOutcome{Subject: s, Answered: true, AgeMs: age.Milliseconds()})
+			answers = append(answers, &answer{Subject: s, AgeMs: age.Milliseconds()})
 		} else {
 			c.tracker.Watch(now, s)
 		}
 	}
 	c.mu.Unlock()
-	for _, o := range answered {
-		g.send(kindRequestOutcome, o, from)
-	}
-}
-
-// adoptWhole blocks the requests that a hub of an older version blocks.
-func (g *Group) adoptWhole(now time.Time, blocked []poison.Subject) {
-	var blocks []blockEntry
-	for _, s := range blocked {
-		blocks = append(blocks, blockEntry{Subjects: []poison.Subject{s}, RemainingMs: time.Minute.Milliseconds(), DurationMs: time.Minute.Milliseconds()})
+	g.logChange(change)
+	for _, a := range answers {
+		g.send(kindAnswer, a, from)
 	}
-	g.onContainment(now, &containmentReport{Blocks: blocks})
 }
 
-// addTo adds what is blocked and suspected to a roster.
-func (c *containment) addTo(now time.Time, report *rosterReport) {
-	report.Blocked = c.blockedWhole(now)
+// sendContainment sends a hub's report on what is blocked and suspected, if anything is.
+func (g *Group) sendContainment(now time.Time, to ...netip.AddrPort) {
+	c := &g.containment
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	report.Blocks = encodeBlocks(now, c.tracker.Blocks(now, maxReportedBlocks))
-	report.Suspected = c.tracker.Suspected(now, maxReportedSuspects)
+	report := &containmentReport{
+		Blocks: encodeBlocks(now, c.tracker.Blocks(now, maxReportedBlocks)), Suspected: c.tracker.Suspected(now, maxReportedSuspects),
+	}
+	c.mu.Unlock()
+	if len(report.Blocks) > 0 || len(report.Suspected) > 0 {
+		g.send(kindContainment, report, to...)
+	}
 }
 
-// blockedWhole returns the subjects of the blocks that have only one.
+// blockedWhole returns the subjects of the blocks that have only one, for peers of older versions.
 func (c *containment) blockedWhole(now time.Time) []poison.Subject {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -125,8 +125,9 @@
 	servers := g.serverIDs()
 	g.mu.Unlock()
 	if len(rosterTo) > 0 {
-		g.containment.addTo(now, roster)
+		roster.Blocked = g.containment.blockedWhole(now)
 		g.send(kindRoster, roster, rosterTo...)
+		g.sendContainment(now, rosterTo...)
 	}
 	if len(totalsTo) > 0 {
 		g.send(kindTotals, servers.encodeTotals(g.opt.Name, g.opt.View.TotalLoad()), totalsTo...)
@@ -172,8 +173,9 @@
 		g.sendHubReport([]netip.AddrPort{to})
 		return
 	}
-	g.containment.addTo(now, full)
+	full.Blocked = g.containment.blockedWhole(now)
 	g.send(kindRoster, full, to)
+	g.sendContainment(now, to)
 }
 
 // onRosterRequest sends the list of live instances to a peer that missed changes of it.
@@ -203,7 +205,6 @@
 		p.rosterAskedAt = now
 	}
 	g.mu.Unlock()
-	g.onContainmentOfHub(now, report, from)
 	if ask {
 		g.send(kindRosterRequest, &rosterRequest{Name: g.opt.Name}, from)
 	}
@@ -248,7 +249,6 @@
 	isHub := g.hub.active
 	loads := decodeLoads(report.Loads, g.serverIDs().byHash)
 	g.mu.Unlock()
-	g.adoptWhole(now, report.Blocked)
 	if !isHub {
 		g.opt.View.UpdateHubTotal(loads)
 	}
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -12,7 +12,8 @@
 )
 
 // kind is the type of a datagram. A datagram consists of one byte for its kind and a CBOR
-// array of fields. New fields are added at the end of the array.
+// array of fields. The number of fields of a kind never changes, because decoders reject
+// arrays of another length; what is new gets a new kind, which older versions ignore.
 type kind byte
 
 const (
@@ -26,6 +27,7 @@
 	kindRosterRequest
 	kindTotals
 	kindBrokenRun
+	kindAnswer
 	kindContainment
 )
 
@@ -125,14 +127,19 @@
 	Sequence  uint64
 }
 
-// requestOutcome reports that a request got a complete answer or, from instances that do not
-// know brokenRun, that a server failed while it ran a request.
+// requestOutcome reports, from instances that do not know brokenRun and answer, that a server
+// failed while it ran a request or, if Answered is set, that a request got a complete answer.
 type requestOutcome struct {
+	_        struct{} `cbor:",toarray"`
+	Whole    poison.Subject
+	Server   uint32
+	Answered bool
+}
+
+// answer reports a complete answer to a request that is, or whose prompt holds, the subject.
+type answer struct {
 	_       struct{} `cbor:",toarray"`
 	Subject poison.Subject
-	Server  uint32
-	// Answered is set if Subject, a request or a part of its prompt, got a complete answer.
-	Answered bool
 	// AgeMs is the time since the answer.
 	AgeMs int64
 }
@@ -144,7 +151,7 @@
 	Whole  poison.Subject
 	Parts  []poison.Subject
 	// Answered are the parts for which the instance has a complete answer, with its age.
-	Answered []requestOutcome
+	Answered []answer
 }
 
 // blockEntry is a block in a message.
@@ -155,12 +162,16 @@
 	RemainingMs, DurationMs int64
 }
 
-// containmentReport is a hub's report on a change of what is blocked.
+// containmentReport is a hub's report on what is blocked.
 type containmentReport struct {
-	_        struct{} `cbor:",toarray"`
-	Blocks   []blockEntry
+	_      struct{} `cbor:",toarray"`
+	Blocks []blockEntry
+	// Cleared are the subjects for which an answer speaks, and Released those of the blocks
+	// that have ended, since the last report.
 	Cleared  []poison.Subject
 	Released [][]poison.Subject
+	// Suspected are the subjects for which the hub wants to know of answers.
+	Suspected []poison.Subject
 }
 
 // hash returns the hash that stands for the id of a server or the name of an instance in
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -162,8 +162,10 @@
 		return handle(raw, from, func(o *requestOutcome, _ netip.AddrPort) { g.onOutcome(o) })
 	case kindBrokenRun:
 		return handle(raw, from, func(b *brokenRun, _ netip.AddrPort) { g.onBrokenRun(b) })
+	case kindAnswer:
+		return handle(raw, from, func(a *answer, _ netip.AddrPort) { g.onAnswer(a) })
 	case kindContainment:
-		return handle(raw, from, func(c *containmentReport, _ netip.AddrPort) { g.onContainment(time.Now(), c) })
+		return handle(raw, from, g.onContainment)
 	case kindPreemption:
 		return handle(raw, from, func(p *preemption, _ netip.AddrPort) { g.preemptOwn(p) })
 	case kindRoster:
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"reflect"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -470,13 +471,40 @@
 	t.Logf("%d bytes", len(raw))
 }
 
+// Guards against a datagram that instances of the version before cannot decode, so that they
+// lose their hubs during an update: the number of fields of a kind is fixed.
+func TestFieldsOfDatagramsAreFixed(t *testing.T) {
+	for kind, want := range map[reflect.Type]int{
+		reflect.TypeFor[loadReport]():        7,
+		reflect.TypeFor[load]():              6,
+		reflect.TypeFor[hubReport]():         4,
+		reflect.TypeFor[liveInstance]():      3,
+		reflect.TypeFor[serverRequest]():     11,
+		reflect.TypeFor[grant]():             2,
+		reflect.TypeFor[preemption]():        3,
+		reflect.TypeFor[requestOutcome]():    3,
+		reflect.TypeFor[rosterReport]():      6,
+		reflect.TypeFor[rosterChange]():      2,
+		reflect.TypeFor[rosterRequest]():     1,
+		reflect.TypeFor[totals]():            3,
+		reflect.TypeFor[answer]():            2,
+		reflect.TypeFor[brokenRun]():         4,
+		reflect.TypeFor[blockEntry]():        3,
+		reflect.TypeFor[containmentReport](): 4,
+	} {
+		if kind.NumField()-1 != want {
+			t.Errorf("%s has %d fields, want %d", kind.Name(), kind.NumField()-1, want)
+		}
+	}
+}
+
 func FuzzReceive(f *testing.F) {
 	for k, body := range map[kind]any{
 		kindLoadReport: &loadReport{Name: "n", Loads: []load{{Server: 1, Online: 2}}}, kindHubReport: &hubReport{Name: "n", LiveInstances: []liveInstance{{Name: 1}}},
 		kindServerRequest: &serverRequest{Name: "n", Service: "svc", Avoid: []uint32{1}}, kindGrant: &grant{Sequence: 1}, kindPreemption: &preemption{Server: 1},
 		kindRoster: &rosterReport{Name: "n", Full: true, Changes: []rosterChange{{Instance: liveInstance{Name: 1}}}}, kindRosterRequest: &rosterRequest{Name: "n"},
-		kindTotals: &totals{Name: "n", Packed: []byte{1}}, kindRequestOutcome: &requestOutcome{Subject: 1, Answered: true},
-		kindBrokenRun:   &brokenRun{Server: 1, Whole: 2, Parts: []poison.Subject{3}, Answered: []requestOutcome{{Subject: 4, Answered: true}}},
+		kindTotals: &totals{Name: "n", Packed: []byte{1}}, kindRequestOutcome: &requestOutcome{Whole: 1}, kindAnswer: &answer{Subject: 1},
+		kindBrokenRun:   &brokenRun{Server: 1, Whole: 2, Parts: []poison.Subject{3}, Answered: []answer{{Subject: 4}}},
 		kindContainment: &containmentReport{Blocks: []blockEntry{{Subjects: []poison.Subject{1}, RemainingMs: 1, DurationMs: 2}}, Cleared: []poison.Subject{2}},
 	} {
 		raw, err := encode(k, body)
--- a/node/peers/roster.go
+++ b/node/peers/roster.go
@@ -130,12 +130,9 @@
 	// Full is set if Changes holds all live instances.
 	Full    bool
 	Changes []rosterChange
-	// Blocked are the whole requests that are blocked because they crash servers, for
-	// instances that do not know Blocks.
+	// Blocked are the whole requests that are blocked because they crash servers. It is sent
+	// for instances that do not know containment reports, and otherwise ignored.
 	Blocked []poison.Subject
-	Blocks  []blockEntry
-	// Suspected are the subjects for which the hub wants to know of answers.
-	Suspected []poison.Subject
 }
 
 // rosterChange is one change of a roster: an instance that is live, or has left.
