policy/ratelimit: the sum over all instances stays below the rate limit that a server states

The class of fault: a bound that holds for the sum of all instances, while each sees its own share only. Change: policy/ratelimit has a token bucket a server. A hub takes a token for each grant; instances report what servers state, with its age, and how many requests they sent, so that each hub also counts what others granted or sent by themselves. A request that finds no server waits for 0.2 of its objective and is then refused, to return within a second or so; one that is queued stays there while the limits leave no other server.

--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -329,6 +329,35 @@
 	return v.table.OwnLoad(time.Now())
 }
 
+// OwnRates returns what this instance reports about servers with a rate limit.
+func (v *View) OwnRates() map[string]balance.RateReport {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.OwnRates(time.Now())
+}
+
+// UpdatePeerRates records what a peer reports about servers with a rate limit. It includes the
+// grants up to the sequence number includedGrants.
+func (v *View) UpdatePeerRates(name string, rates map[string]balance.RateReport, includedGrants uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.table.UpdatePeerRates(time.Now(), name, rates, includedGrants)
+}
+
+// RateLimited reports whether a server of a service states a rate limit.
+func (v *View) RateLimited(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.RateLimited(service)
+}
+
+// HasUnlimited reports whether there is a server without a rate limit for a request.
+func (v *View) HasUnlimited(q balance.Query) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.HasUnlimited(time.Now(), q)
+}
+
 // TotalLoad returns the load of all known instances by server.
 func (v *View) TotalLoad() map[string]balance.Load {
 	v.mu.Lock()
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -14,6 +16,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/poison"
 )
@@ -27,6 +30,8 @@
 	// queued.
 	responseTimeoutShare = 0.7
 	minResponseTimeout   = 100 * time.Millisecond
+	maxQueueTime         = time.Second
+	slotPollInterval     = 50 * time.Millisecond
 	// A resumable stream is continued on another server after gapTimeoutFactor times the
 	// gap objective, but at least minGapTimeout, without an event. Callers give up after
 	// two seconds or more.
@@ -45,6 +50,12 @@
 	// minRetryAfter is the minimum retry delay in the response to a request that no server
 	// took.
 	minRetryAfter = 200 * time.Millisecond
+	// A request that the rate limits of the servers hold back is refused after
+	// maxRateWaitShare of its latency objective, and asked to return after minRetryAfter and
+	// up to rateRetrySpread more.
+	maxRateWaitShare = 0.2
+	ratePollInterval = 20 * time.Millisecond
+	rateRetrySpread  = time.Second
 	// maxQueueWaitShare is the share of the time left until the deadline that a request may
 	// be expected to wait in a server's queue; beyond it the request is rejected at once.
 	maxQueueWaitShare = 0.5
@@ -200,6 +211,10 @@
 		query.Left, query.RunTime = time.Until(c.deadline), c.gateway.View.MeanRunTime(c.service)
 	}
 	lease, ok := c.gateway.Placer.Place(query)
+	for !ok && c.mayWaitForRate() {
+		clock.Sleep(c.incoming.Context(), ratePollInterval)
+		lease, ok = c.gateway.Placer.Place(query)
+	}
 	if !ok {
 		return nil, "no server is left"
 	}
@@ -213,6 +228,13 @@
 	return lease, ""
 }
 
+// mayWaitForRate reports whether the request may wait until the rate limit of a server allows
+// it.
+func (c *call) mayWaitForRate() bool {
+	return c.incoming.Context().Err() == nil && !c.deadlineReached() && c.gateway.View.RateLimited(c.service) &&
+		time.Since(c.arrived) < time.Duration(maxRateWaitShare*float64(c.route.LatencyObjective))
+}
+
 // attempt sends the request to one server and forwards its response.
 func (c *call) attempt(ctx context.Context, lease *fleet.Lease) attemptResult {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -225,7 +247,7 @@
 	klog.InfoS("server picked", "id", c.request.ID, "server", lease.Server.ID, "by", lease.Picker, "attempt", c.sentCount, "busy", lease.InFlight,
 		"slots", lease.Slots, "serversAge", c.gateway.View.ServersAge())
 	timer := c.startResponseTimer(cancel)
-	defer timer.Stop()
+	defer timer.stop()
 	start := time.Now()
 	response, err := c.gateway.Pool.Do(ctx, lease.Server.Address, c.serverRequest(lease.Server.ID), c.parseServerHeader)
 	if err != nil {
@@ -254,12 +276,19 @@
 
 // startResponseTimer returns a timer that cancels the attempt of a repeatable request if
 // the server does not respond in time and another attempt is allowed.
-func (c *call) startResponseTimer(cancel context.CancelCauseFunc) *time.Timer {
+func (c *call) startResponseTimer(cancel context.CancelCauseFunc) *attemptTimer {
 	timeout := max(minResponseTimeout, time.Duration(responseTimeoutShare*float64(c.route.LatencyObjective)))
 	if !c.mayTryAnother() || c.route.LatencyObjective <= 0 {
 		timeout = c.lastAttemptTimeout()
 	}
-	return time.AfterFunc(timeout, func() { cancel(errServerTimeout) })
+	query := balance.Query{Service: c.service, AtMostOnce: !c.repeatable(), Tried: maps.Clone(c.tried)}
+	timer := &attemptTimer{
+		pollInterval: ratePollInterval, expired: func() { cancel(errServerTimeout) },
+		// A request that the rate limits keep from all other servers keeps its place in the queue.
+		hasAlternative: func() bool { return !c.gateway.View.RateLimited(c.service) || c.gateway.View.HasUnlimited(query) },
+	}
+	timer.start(timeout)
+	return timer
 }
 
 // mayTryAnother reports whether another attempt may follow one that may have run.
@@ -393,6 +422,10 @@
 // retryAfter returns the expected time until the servers have run the requests that are
 // queued already.
 func (c *call) retryAfter() time.Duration {
+	if c.gateway.View.RateLimited(c.service) {
+		// The requests that are refused at the same time return one after the other.
+		return minRetryAfter + rand.N(rateRetrySpread)
+	}
 	free, slots, _ := c.gateway.View.Capacity(c.service)
 	if free > 0 || slots == 0 {
 		return minRetryAfter
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -96,7 +96,7 @@
 }
 
 // forwardStream forwards a stream event by event.
-func (c *call) forwardStream(ctx context.Context, lease *fleet.Lease, response *exchange.Response, timer *time.Timer, start time.Time) attemptResult {
+func (c *call) forwardStream(ctx context.Context, lease *fleet.Lease, response *exchange.Response, timer *attemptTimer, start time.Time) attemptResult {
 	gapTimeout := max(minGapTimeout, gapTimeoutFactor*c.route.GapObjective)
 	if !c.mayTryAnother() {
 		gapTimeout = c.lastAttemptTimeout()
@@ -119,7 +119,7 @@
 		if (c.headerWritten || c.request.IsResume) && event.HasID && event.ID != c.lastEvent+1 {
 			return c.recordBrokenAttempt(ctx, lease, lastReceived, fmt.Errorf("event %d after event %d", event.ID, c.lastEvent))
 		}
-		timer.Reset(gapTimeout)
+		timer.progress(gapTimeout)
 		now := time.Now()
 		if c.progress.events == 0 {
 			lease.ResponseStarted()
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// onRates applies a peer's report on servers with a rate limit.
+func (g *Group) onRates(report *rateReport, _ netip.AddrPort) {
+	g.mu.Lock()
+	rates := decodeRates(time.Now(), report.Servers, g.serverIDs().byHash)
+	g.mu.Unlock()
+	g.opt.View.UpdatePeerRates(report.Name, rates, report.IncludedGrants)
+}
+
 // hubTick sends a hub's reports that are due and preempts batch requests where a surplus
 // lasts. It returns the time at which it has to be called next.
 func (g *Group) hubTick(now time.Time) (next time.Time) {
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,6 +10,7 @@
 
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/poison"
+	"github.com/jacinthnotch/jacinthnotch/policy/ratelimit"
 )
 
 // kind is the type of a datagram. A datagram consists of one byte for its kind and a CBOR
@@ -29,6 +31,7 @@
 	kindBrokenRun
 	kindAnswer
 	kindContainment
+	kindRates
 )
 
 // Versions of the protocol between instances. An instance states the version that it
@@ -71,6 +74,30 @@
 // stepTimeUnit is the unit of step times in datagrams.
 const stepTimeUnit = 100 * time.Microsecond
 
+// rateReport reports the requests of one instance to servers with a rate limit.
+type rateReport struct {
+	_    struct{} `cbor:",toarray"`
+	Name string
+	// IncludedGrants is the sequence number up to which Servers includes the hub's grants.
+	IncludedGrants uint64
+	Servers        []serverRate
+}
+
+// serverRate is what an instance reports about one server with a rate limit.
+type serverRate struct {
+	_      struct{} `cbor:",toarray"`
+	Server uint32
+	// Limit is in thousandths of a request a second, zero for none; AgeMs is the time since
+	// the server stated it to the instance.
+	Limit uint64
+	AgeMs int64
+	// Starts counts the requests that the instance sent to the server.
+	Starts uint32
+}
+
+// rateUnit is the unit of rate limits in datagrams, in requests a second.
+const rateUnit = 0.001
+
 // hubReport is a hub's report on all instances.
 type hubReport struct {
 	_             struct{} `cbor:",toarray"`
@@ -209,6 +236,25 @@
 	return loads
 }
 
+func encodeRates(now time.Time, byID map[string]balance.RateReport) []serverRate {
+	rates := make([]serverRate, 0, len(byID))
+	for id, r := range byID {
+		rates = append(rates, serverRate{Server: hash(id), Limit: uint64(math.Round(r.Limit / rateUnit)), AgeMs: now.Sub(r.At).Milliseconds(), Starts: r.Starts})
+	}
+	return rates
+}
+
+func decodeRates(now time.Time, rates []serverRate, ids map[uint32]string) map[string]balance.RateReport {
+	byID := make(map[string]balance.RateReport, len(rates))
+	for _, r := range rates {
+		if id, ok := ids[r.Server]; ok {
+			at := now.Add(-time.Duration(max(0, r.AgeMs)) * time.Millisecond)
+			byID[id] = balance.RateReport{Statement: ratelimit.Statement{Limit: float64(r.Limit) * rateUnit, At: at}, Starts: r.Starts}
+		}
+	}
+	return byID
+}
+
 func decodeLoads(loads []load, ids map[uint32]string) map[string]balance.Load {
 	byID := make(map[string]balance.Load, len(loads))
 	for _, l := range loads {
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -162,6 +162,8 @@
 		return handle(raw, from, func(o *requestOutcome, _ netip.AddrPort) { g.onOutcome(o) })
 	case kindBrokenRun:
 		return handle(raw, from, func(b *brokenRun, _ netip.AddrPort) { g.onBrokenRun(b) })
+	case kindRates:
+		return handle(raw, from, g.onRates)
 	case kindAnswer:
 		return handle(raw, from, func(a *answer, _ netip.AddrPort) { g.onAnswer(a) })
 	case kindContainment:
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -490,7 +490,7 @@
 		reflect.TypeFor[answer]():            2,
 		reflect.TypeFor[brokenRun]():         4,
 		reflect.TypeFor[blockEntry]():        3,
-		reflect.TypeFor[containmentReport](): 4,
+		reflect.TypeFor[containmentReport](): 4, reflect.TypeFor[rateReport](): 3, reflect.TypeFor[serverRate](): 4,
 	} {
 		if kind.NumField()-1 != want {
 			t.Errorf("%s has %d fields, want %d", kind.Name(), kind.NumField()-1, want)
@@ -503,7 +503,7 @@
 		kindLoadReport: &loadReport{Name: "n", Loads: []load{{Server: 1, Online: 2}}}, kindHubReport: &hubReport{Name: "n", LiveInstances: []liveInstance{{Name: 1}}},
 		kindServerRequest: &serverRequest{Name: "n", Service: "svc", Avoid: []uint32{1}}, kindGrant: &grant{Sequence: 1}, kindPreemption: &preemption{Server: 1},
 		kindRoster: &rosterReport{Name: "n", Full: true, Changes: []rosterChange{{Instance: liveInstance{Name: 1}}}}, kindRosterRequest: &rosterRequest{Name: "n"},
-		kindTotals: &totals{Name: "n", Packed: []byte{1}}, kindRequestOutcome: &requestOutcome{Whole: 1}, kindAnswer: &answer{Subject: 1},
+		kindTotals: &totals{Name: "n", Packed: []byte{1}}, kindRequestOutcome: &requestOutcome{Whole: 1}, kindAnswer: &answer{Subject: 1}, kindRates: &rateReport{Name: "n", Servers: []serverRate{{Server: 1, Limit: 2}}},
 		kindBrokenRun:   &brokenRun{Server: 1, Whole: 2, Parts: []poison.Subject{3}, Answered: []answer{{Subject: 4}}},
 		kindContainment: &containmentReport{Blocks: []blockEntry{{Subjects: []poison.Subject{1}, RemainingMs: 1, DurationMs: 2}}, Cleared: []poison.Subject{2}},
 	} {
--- a/node/peers/place.go
+++ b/node/peers/place.go
@@ -41,6 +41,7 @@
 		// the request waits until another instance is the hub, a few seconds at most.
 		return nil, false
 	}
+	q.Instances = len(g.Alive()) + 1
 	return g.opt.View.Pick(q)
 }
 
--- a/node/peers/report.go
+++ b/node/peers/report.go
@@ -71,17 +71,24 @@
 	due, nextReport := g.loadReportsDue(now, version)
 	next = earlier(next, nextReport)
 	var report *loadReport
+	var rates *rateReport
 	if len(due) > 0 {
 		report = &loadReport{
 			Name: g.opt.Name, Incarnation: g.opt.Incarnation, Leaving: g.leaving, IncludedGrants: g.includedGrants(),
 			ReachesStore: reachesStore, Protocol: currentProtocol, Loads: encodeLoads(g.opt.View.OwnLoad()),
 		}
+		if own := g.opt.View.OwnRates(); len(own) > 0 {
+			rates = &rateReport{Name: g.opt.Name, IncludedGrants: report.IncludedGrants, Servers: encodeRates(now, own)}
+		}
 	}
 	isHub := g.hub.active
 	g.mu.Unlock()
 	if report != nil {
 		g.send(kindLoadReport, report, due...)
 	}
+	if rates != nil {
+		g.send(kindRates, rates, due...)
+	}
 	if isHub {
 		next = earlier(next, g.hubTick(now))
 	}
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -22,6 +22,9 @@
 	// CompleteView is set when the table counts the requests in flight of all
 	// instances, so that the server with the lowest score can be taken.
 	CompleteView bool
+	// Instances is the number of live instances. Without a complete view each of them uses
+	// its share of the rate limits of servers.
+	Instances int
 	// Left is the time until the request's deadline, and RunTime the time that a request
 	// takes on a server of median speed; zero if not known.
 	Left, RunTime time.Duration
@@ -146,6 +149,9 @@
 	}
 	delete(t.batchWaits, q.Requester)
 	best := t.selectCandidate(candidates, q.CompleteView)
+	if q.CompleteView {
+		best.rate.Adjust(now, -1)
+	}
 	if best.consecutiveUnreachable > 0 {
 		best.trialUntil = now.Add(trialTimeout)
 	}
@@ -170,6 +176,7 @@
 				unreachable = s
 			}
 		case q.Class == Batch && (s.inFlight()+q.Headroom >= s.slots() || s.failureRate(now) > maxBatchFailureRate):
+		case !t.rateAllows(now, s, q):
 		default:
 			tier := s.tier()
 			candidates = append(candidates, candidate{s, s.score(now, q, tier, median), tier})
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/policy/ratelimit"
 )
 
 // Class is the scheduling class of a request.
@@ -104,9 +105,12 @@
 	// stepTime is the moving average of the time of one step of an answer; zero before
 	// the first measurement.
 	stepTime time.Duration
-	// rateLimit is the rate limit that the server stated last, in requests a second over all
-	// instances; zero if it states none.
-	rateLimit float64
+	// rate holds the latest statement of the server's rate limit, and stated the latest one to
+	// this instance.
+	rate   ratelimit.Bucket
+	stated ratelimit.Statement
+	// starts counts the requests that this instance sent to the server.
+	starts uint32
 	// surplusSince is when the server was first seen with more requests in flight than
 	// slots, zero while it has not; preemptedAt is the time of the last preemption there.
 	surplusSince, preemptedAt time.Time
@@ -175,6 +179,8 @@
 	active  map[string]*serverState
 	version LoadVersion
 	peers   map[string]*peerReport
+	// peerStarts holds what peers have reported of requests to servers with a rate limit.
+	peerStarts map[string]*peerStarts
 	// batchWaits holds, by requesting instance, the batch requests that recently
 	// found no free slot.
 	batchWaits map[string]batchWait
@@ -187,7 +193,7 @@
 func NewTable(random *rand.Rand) *Table {
 	return &Table{
 		servers: map[string]*serverState{}, services: map[string]*serviceState{}, active: map[string]*serverState{},
-		peers: map[string]*peerReport{}, batchWaits: map[string]batchWait{}, random: random,
+		peers: map[string]*peerReport{}, peerStarts: map[string]*peerStarts{}, batchWaits: map[string]batchWait{}, random: random,
 	}
 }
 
@@ -308,6 +314,7 @@
 		t.peers[name] = r
 	}
 	r.grants = append(r.grants, g)
+	t.recordRateGrant(name, g)
 	if s := t.servers[g.Server]; s != nil {
 		s.peers[g.Class]++
 	}
@@ -318,6 +325,7 @@
 	if r := t.peers[name]; r != nil {
 		t.applyReport(r, -1)
 		delete(t.peers, name)
+		delete(t.peerStarts, name)
 	}
 }
 
@@ -380,6 +388,7 @@
 func (t *Table) RequestGranted(server string, class Class) {
 	if s := t.servers[server]; s != nil {
 		s.own[class]++
+		s.starts++
 		t.active[server] = s
 		t.version.Changes++
 	}
@@ -462,17 +471,6 @@
 	}
 }
 
-// RecordRateLimit records the rate limit that a server states, in requests a second; zero means
-// none. It reports whether the limit has changed.
-func (t *Table) RecordRateLimit(_ time.Time, server string, limit float64) bool {
-	s := t.servers[server]
-	if s == nil || s.rateLimit == limit {
-		return false
-	}
-	s.rateLimit = limit
-	return true
-}
-
 // RecordStepTime records the time of one step of an answer: the gap between two events,
 // or the whole time of an answer that is not streamed.
 func (t *Table) RecordStepTime(server string, step time.Duration) {
