node/jobs: crashes of servers do not hold items back

Report: an item under which several servers crashed was never placed again in a system like ours. Here its wait doubled with each crash, to 9.6 s, and so did the time for which its next run waits on a silent server, from 1.5 s to 96 s. Cause: crashes and timeouts shared one count, as if an item could crash servers. Change: only timeouts lengthen the timeout; the wait after a crash is 1.2 s at most. Items are not blocked by policy/poison.

--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -27,9 +27,10 @@
 	minEventTimeout     = 1500 * time.Millisecond
 	eventTimeoutFactor  = 5
 	maxTimeoutDoublings = 6
-	// maxRetryDoublings limits the exponential backoff of an item whose runs are
-	// interrupted.
+	// maxRetryDoublings limits the exponential backoff of an item whose runs end by timeouts,
+	// and maxBreakDoublings that of one whose servers break off.
 	maxRetryDoublings = 5
+	maxBreakDoublings = 2
 	// maxErrorBody is the maximum part of the body of an error response that is read, in
 	// bytes.
 	maxErrorBody = 64 << 10
@@ -71,9 +72,9 @@
 	output    []byte
 	lastEvent int64
 	hasOutput bool
-	// failures counts responses with status 500, and interruptions the runs that were
-	// interrupted since the last event.
-	failures, interruptions int
+	// failures counts responses with status 500. timeouts and breaks count the runs since the
+	// last event that ended by a timeout, or otherwise without a complete response.
+	failures, timeouts, breaks int
 }
 
 // runOutcome is the outcome of one run.
@@ -173,7 +174,19 @@
 // eventTimeout returns the time without a complete event after which the run ends.
 func (run *itemRun) eventTimeout(route *serving.Route) time.Duration {
 	timeout := max(minEventTimeout, eventTimeoutFactor*route.GapObjective)
-	return timeout << min(run.interruptions, maxTimeoutDoublings)
+	return timeout << min(run.timeouts, maxTimeoutDoublings)
+}
+
+// interrupted records a run that ended without a complete response, and returns the time
+// before the next one. cause is errEventTimeout or nil. Only timeouts count against the item:
+// a server that crashes may do so for any reason.
+func (run *itemRun) interrupted(cause error) time.Duration {
+	if errors.Is(cause, errEventTimeout) {
+		run.timeouts++
+		return failedRetryDelay << min(run.timeouts-1, maxRetryDoublings)
+	}
+	run.breaks++
+	return failedRetryDelay << min(run.breaks-1, maxBreakDoublings)
 }
 
 // restore loads the output that another instance saved.
@@ -213,10 +226,7 @@
 		lease.End(balance.Unreachable)
 		r.Metrics.count("broken")
 		r.logRun(item, run, lease, "broken", err)
-		// Exponential backoff, so that an item that crashes servers is retried less and
-		// less often.
-		run.interruptions++
-		return runOutcome{retryDelay: failedRetryDelay << min(run.interruptions-1, maxRetryDoublings)}
+		return runOutcome{retryDelay: run.interrupted(cause)}
 	}
 	lease.End(balance.Abandoned)
 	r.logRun(item, run, lease, "stopped", cause)
@@ -278,7 +288,7 @@
 		}
 		lastReceived = now
 		count++
-		run.interruptions = 0
+		run.timeouts, run.breaks = 0, 0
 		if run.hasOutput {
 			run.output = append(run.output, '\n')
 		}
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -354,8 +354,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	run.active, run.saving, run.server = false, false, ""
-	run.interruptions++
-	run.notBefore = time.Now().Add(failedRetryDelay << min(run.interruptions-1, maxRetryDoublings))
+	run.notBefore = time.Now().Add(run.interrupted(nil))
 	r.running--
 }
 
