--- a/node/director/fake_test.go
+++ b/node/director/fake_test.go
@@ -232,6 +232,11 @@
 
 // runInBubble runs a test in a synctest bubble, with a director of n engines.
 func runInBubble(t *testing.T, n int, src *fakeSource, f func(*testing.T, *testEnv)) {
+	runWithQuarantine(t, n, src, nil, f)
+}
+
+// runWithQuarantine is runInBubble with a quarantine; nil for none.
+func runWithQuarantine(t *testing.T, n int, src *fakeSource, q servers.Quarantine, f func(*testing.T, *testEnv)) {
 	synctest.Test(t, func(t *testing.T) {
 		env := &testEnv{source: src}
 		var entries staticDirectory
@@ -248,7 +253,7 @@
 			NewEngine: func(a string) port.Engine {
 				i := slices.IndexFunc(entries, func(e port.ServerEntry) bool { return e.Address == a })
 				return env.engines[i]
-			}, BatchAssignment: entries})
+			}, BatchAssignment: entries, Quarantine: q})
 		env.director = New(Options{Instance: "i", Pool: env.pool, Source: src})
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg conc.WaitGroup
