--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -30,8 +30,6 @@
 	// queued.
 	responseTimeoutShare = 0.7
 	minResponseTimeout   = 100 * time.Millisecond
-	maxQueueTime         = time.Second
-	slotPollInterval     = 50 * time.Millisecond
 	// A resumable stream is continued on another server after gapTimeoutFactor times the
 	// gap objective, but at least minGapTimeout, without an event. Callers give up after
 	// two seconds or more.
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -145,13 +145,12 @@
 		if unreachable == nil {
 			return Choice{}, false
 		}
+		unreachable.takeRate(now, q)
 		return unreachable.choice(), true
 	}
 	delete(t.batchWaits, q.Requester)
 	best := t.selectCandidate(candidates, q.CompleteView)
-	if q.CompleteView {
-		best.rate.Adjust(now, -1)
-	}
+	best.takeRate(now, q)
 	if best.consecutiveUnreachable > 0 {
 		best.trialUntil = now.Add(trialTimeout)
 	}
@@ -171,12 +170,12 @@
 	for _, s := range group.servers {
 		switch {
 		case !s.server.Usable() || len(q.Tried) > 0 && q.Tried[s.server.ID]:
+		case !t.rateAllows(now, s, q):
 		case s.unreachableFor(now, q):
 			if unreachable == nil || s.backoffUntil.Before(unreachable.backoffUntil) {
 				unreachable = s
 			}
 		case q.Class == Batch && (s.inFlight()+q.Headroom >= s.slots() || s.failureRate(now) > maxBatchFailureRate):
-		case !t.rateAllows(now, s, q):
 		default:
 			tier := s.tier()
 			candidates = append(candidates, candidate{s, s.score(now, q, tier, median), tier})
--- a/policy/balance/rate.go
+++ b/policy/balance/rate.go
@@ -65,6 +65,14 @@
 	return s.rate.AllowsAlone(now, q.Instances, t.random.Float64())
 }
 
+// takeRate counts a request that a hub places towards the rate limit of the server. Requests of
+// other instances are counted by their reports.
+func (s *serverState) takeRate(now time.Time, q Query) {
+	if q.CompleteView {
+		s.rate.Adjust(now, -1)
+	}
+}
+
 // OwnRates returns what this instance reports about servers with a rate limit, and those
 // whose limit has just ended.
 func (t *Table) OwnRates(now time.Time) map[string]RateReport {
