node/gateway: short queues while servers state rate limits

Cause: the servers without a limit got queues of a second and more, in which every request was late, and half of the attempts were ended by the timeout for a first response. Change: a request that would wait for more than half of its objective is refused at once then, to return a little later.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -52,8 +52,11 @@
 	// maxRateWaitShare of its latency objective, and asked to return after minRetryAfter and
 	// up to rateRetrySpread more.
 	maxRateWaitShare = 0.2
-	ratePollInterval = 20 * time.Millisecond
-	rateRetrySpread  = time.Second
+	// While there are rate limits, it is refused at once if it is expected to wait in a queue for
+	// more than maxRateQueueShare of the objective.
+	maxRateQueueShare = 0.5
+	ratePollInterval  = 20 * time.Millisecond
+	rateRetrySpread   = time.Second
 	// maxQueueWaitShare is the share of the time left until the deadline that a request may
 	// be expected to wait in a server's queue; beyond it the request is rejected at once.
 	maxQueueWaitShare = 0.5
@@ -218,7 +221,7 @@
 	}
 	if !c.deadline.IsZero() && lease.QueuePosition > 0 {
 		wait := time.Duration(float64(lease.QueuePosition) / float64(lease.Slots) * float64(c.gateway.View.MeanRunTime(c.service)))
-		if left := time.Until(c.deadline); wait > time.Duration(maxQueueWaitShare*float64(left)) {
+		if wait > c.maxQueueWait() {
 			lease.End(balance.Abandoned)
 			return nil, fmt.Sprintf("the expected wait of %d ms is too long", wait.Milliseconds())
 		}
@@ -226,6 +229,18 @@
 	return lease, ""
 }
 
+// maxQueueWait returns the longest time for which the request may be expected to wait in a
+// server's queue.
+func (c *call) maxQueueWait() time.Duration {
+	wait := time.Duration(maxQueueWaitShare * float64(time.Until(c.deadline)))
+	if c.runCount == 0 && c.sentCount == 0 && c.gateway.View.RateLimited(c.service) {
+		// While rate limits keep requests from most servers, the others would only be late one
+		// after the other. A request that returns a little later finds a slot.
+		wait = min(wait, time.Duration(maxRateQueueShare*float64(c.route.LatencyObjective)))
+	}
+	return wait
+}
+
 // mayWaitForRate reports whether the request may wait until the rate limit of a server allows
 // it.
 func (c *call) mayWaitForRate() bool {
