--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -211,22 +211,33 @@
 	if !c.deadline.IsZero() {
 		query.Left, query.RunTime = time.Until(c.deadline), c.gateway.View.MeanRunTime(c.service)
 	}
-	lease, ok := c.gateway.Placer.Place(query)
-	for !ok && c.mayWaitForRate() {
+	for {
+		lease, ok := c.gateway.Placer.Place(query)
+		reason := "no server is left"
+		if ok {
+			if reason = c.excessiveWait(lease); reason == "" {
+				return lease, ""
+			}
+			lease.End(balance.Abandoned)
+		}
+		if !c.mayWaitForRate() {
+			return nil, reason
+		}
 		clock.Sleep(c.incoming.Context(), ratePollInterval)
-		lease, ok = c.gateway.Placer.Place(query)
 	}
-	if !ok {
-		return nil, "no server is left"
+}
+
+// excessiveWait returns a reason if the request is expected to wait too long in the server's
+// queue.
+func (c *call) excessiveWait(lease *fleet.Lease) string {
+	if c.deadline.IsZero() || lease.QueuePosition <= 0 {
+		return ""
 	}
-	if !c.deadline.IsZero() && lease.QueuePosition > 0 {
-		wait := time.Duration(float64(lease.QueuePosition) / float64(lease.Slots) * float64(c.gateway.View.MeanRunTime(c.service)))
-		if wait > c.maxQueueWait() {
-			lease.End(balance.Abandoned)
-			return nil, fmt.Sprintf("the expected wait of %d ms is too long", wait.Milliseconds())
-		}
+	wait := time.Duration(float64(lease.QueuePosition) / float64(lease.Slots) * float64(c.gateway.View.MeanRunTime(c.service)))
+	if wait <= c.maxQueueWait() {
+		return ""
 	}
-	return lease, ""
+	return fmt.Sprintf("the expected wait of %d ms is too long", wait.Milliseconds())
 }
 
 // maxQueueWait returns the longest time for which the request may be expected to wait in a
