policy/ratelimit: no burst after a bucket was not used

Cause: each instance that becomes a hub began with a full bucket, that is with a burst that other hubs had already granted. Change: a bucket that was not used for 0.25 s has one token, or those of that time.

--- a/policy/ratelimit/ratelimit.go
+++ b/policy/ratelimit/ratelimit.go
@@ -20,6 +20,9 @@
 	permissionTTL = 250 * time.Millisecond
 	// burst is the time whose requests may be sent at once, beside one more.
 	burst = 1500 * time.Millisecond
+	// A bucket that was not used for maxGap has the tokens of maxGap at most, and no burst: an
+	// instance that becomes a hub does not know what others have sent.
+	maxGap = 250 * time.Millisecond
 	// maxDebt limits how far requests without a grant delay later ones, in terms of the
 	// largest number of tokens.
 	maxDebt = 2
@@ -68,7 +71,11 @@
 // advance adds the tokens since the last call.
 func (b *Bucket) advance(now time.Time) {
 	if elapsed := now.Sub(b.updatedAt); elapsed > 0 {
-		b.tokens = min(b.capacity(), b.tokens+b.statement.Limit*elapsed.Seconds())
+		most := b.capacity()
+		if elapsed > maxGap {
+			most = max(1, b.statement.Limit*maxGap.Seconds())
+		}
+		b.tokens = min(most, b.tokens+b.statement.Limit*elapsed.Seconds())
 		b.updatedAt = now
 	}
 }
--- a/policy/ratelimit/ratelimit_test.go
+++ b/policy/ratelimit/ratelimit_test.go
@@ -24,14 +24,15 @@
 		instances := 1 + random.IntN(400)
 		delay := time.Duration(random.IntN(100)) * time.Millisecond
 		limit := 0.2 + 10*random.Float64()
-		hubs, own := [2]Bucket{}, make([]Bucket, instances)
+		hubs, own := make([]Bucket, 5), make([]Bucket, instances)
 		state := func(now time.Time) {
 			s := Statement{Limit: limit, At: now}
 			for i := range own {
 				own[i].Record(now, s)
 			}
-			hubs[0].Record(now, s)
-			hubs[1].Record(now, s)
+			for i := range hubs {
+				hubs[i].Record(now, s)
+			}
 		}
 		type report struct {
 			at  time.Time
@@ -40,14 +41,14 @@
 		var reports []report
 		var sent []time.Time
 		state(epoch)
-		hub := 0
+		hub, hubChanges := 0, 100+random.IntN(1000)
 		for now := epoch; now.Sub(epoch) < 40*time.Second; now = now.Add(5 * time.Millisecond) {
 			for len(reports) > 0 && !now.Before(reports[0].at) {
 				hubs[reports[0].hub].Adjust(now, -1)
 				reports = reports[1:]
 			}
-			if random.IntN(400) == 0 {
-				hub = 1 - hub
+			if random.IntN(hubChanges) == 0 {
+				hub = random.IntN(len(hubs))
 			}
 			ok := false
 			if random.IntN(10) == 0 { // the hub does not answer
@@ -61,7 +62,7 @@
 			if !ok {
 				continue
 			}
-			reports = append(reports, report{now.Add(delay), 1 - hub})
+			reports = append(reports, report{now.Add(delay), (hub + 1) % len(hubs)}) // the standby
 			sent = append(sent, now)
 			for now.Sub(sent[0]) >= window {
 				sent = sent[1:]
@@ -89,12 +90,17 @@
 	if b.Allows(epoch, false) {
 		t.Fatal("a burst when the limit begins")
 	}
-	now := epoch.Add(600 * time.Millisecond)
+	now := epoch
+	for range 6 {
+		now = now.Add(100 * time.Millisecond)
+		b.Allows(now, true)
+	}
 	if !b.Allows(now, false) || b.Allows(now, true) {
 		t.Fatal("a request that can wait has the same right as others")
 	}
-	if b.Allows(now.Add(time.Hour), true); b.tokens > b.capacity() {
-		t.Fatal("tokens are kept without bound")
+	before := b.tokens
+	if b.Allows(now.Add(time.Hour), true); b.tokens-before > 1 {
+		t.Fatalf("%.1f tokens for a time in which the bucket was not used", b.tokens-before)
 	}
 	if !b.Record(now, Statement{At: now}) || b.Limited() || !b.Allows(now, true) {
 		t.Fatal("still limited after the server states none")
