--- a/domain/serving/request.go
+++ b/domain/serving/request.go
@@ -30,6 +30,10 @@
 	NotRun bool
 	// Signed is set if the response carries the server's signature.
 	Signed bool
+	// Server is the ID of the server that responded; empty if the response does not state it.
+	Server string
+	// Leaving is set if the server states that it is leaving.
+	Leaving bool
 	// Load is nil if the response does not report it.
 	Load *Load
 	// RateLimit is the number of requests a second that the server takes from all instances
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -6,6 +6,7 @@
 package fleet
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -250,6 +251,12 @@
 	}
 }
 
+// RecordLeaving records that a server states in a response that it is leaving. The server is
+// that of the lease unless the response names another one, which has its address.
+func (l *Lease) RecordLeaving(server string) {
+	klog.InfoS("server states that it is leaving", "server", cmp.Or(server, l.Server.ID), "started", l.Server.Started)
+}
+
 // RecordStepTime records the time of one step of the response: the gap between two events,
 // or the whole time of a response that is not streamed.
 func (l *Lease) RecordStepTime(step time.Duration) {
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -279,6 +279,9 @@
 	}
 	defer response.Close()
 	parsed := c.gateway.Protocol.ParseResponse(response.Status, response.Header)
+	if parsed.Leaving {
+		lease.RecordLeaving(parsed.Server)
+	}
 	if parsed.Signed || parsed.RateLimit > 0 {
 		lease.RecordRateLimit(parsed.RateLimit)
 	}
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -155,6 +155,9 @@
 	}
 	defer response.Close()
 	parsed := r.Protocol.ParseResponse(response.Status, response.Header)
+	if parsed.Leaving {
+		lease.RecordLeaving(parsed.Server)
+	}
 	if parsed.Signed || parsed.RateLimit > 0 {
 		lease.RecordRateLimit(parsed.RateLimit)
 	}
