domain/serving: a server that says that it is leaving gets no more requests

Callers' requests, retries, resumed streams and batch items reached servers that had said in an answer (Server-Leaving) that they leave: an instance knew of that from the server's entry alone, which it may not be able to read, or which says ready for longer.

The registry now keeps each such statement, apart from the entry. Only an entry of a later start (born) ends it: a later entry that says ready, an answer without the header, or an entry that is removed and returns does not. A statement counts for the start that was running when it came, even if the entry of that start is read later. A 421 speaks of the server that it names. An instance tells the hubs, with its load reports for 2 s, so that they grant such a server to nobody, and names it in its own questions. An item whose content was read while its server began to leave is placed again.

--- a/domain/serving/registry.go
+++ b/domain/serving/registry.go
@@ -18,7 +18,8 @@
 	DataCentre string
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int
-	// Leaving is set once the server has announced that it is draining.
+	// Leaving is set once the server has announced that it is draining, or has stated so in
+	// a response.
 	Leaving bool
 	// Started is the server's start time in Unix milliseconds as reported by the
 	// server, or zero if not reported. It distinguishes a restart under the same ID.
@@ -41,11 +42,35 @@
 	// grace period after the last outage.
 	storeDown  bool
 	graceUntil time.Time
+	// departures holds the latest statement of each server that it is leaving, by ID. It
+	// outlives the entry of the server, which may return.
+	departures map[string]Departure
+}
+
+// maxDepartures is the number of departures from which those of servers without an entry are
+// forgotten, the oldest first.
+const maxDepartures = 4096
+
+// Departure is the statement of a server that it is leaving.
+type Departure struct {
+	Server string
+	// Started is the start time of the server in Unix milliseconds, as known to whoever got
+	// the statement; zero if not known.
+	Started int64
+	// At is the time of the response that holds the statement.
+	At time.Time
+}
+
+// refersTo reports whether the statement may be that of a server with a start time. The entry
+// of a server is read some time after its start, so that a statement can come from a later
+// start than Started says, but from none after At.
+func (d Departure) refersTo(started int64) bool {
+	return started <= d.Started || started <= d.At.UnixMilli()
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{servers: map[string]*Server{}, missing: map[string]time.Time{}}
+	return &Registry{servers: map[string]*Server{}, missing: map[string]time.Time{}, departures: map[string]Departure{}}
 }
 
 // StoreUnavailable records that the store cannot be read.
@@ -68,6 +93,9 @@
 func (r *Registry) Put(s *Server) bool {
 	old := r.servers[s.ID]
 	delete(r.missing, s.ID)
+	if d, ok := r.departures[s.ID]; ok && !d.refersTo(s.Started) {
+		delete(r.departures, s.ID)
+	}
 	r.servers[s.ID] = s
 	return old == nil || *old != *s
 }
@@ -79,7 +107,7 @@
 	if s == nil {
 		return false
 	}
-	if !s.Leaving && (r.storeDown || now.Before(r.graceUntil)) {
+	if !r.leaving(s) && (r.storeDown || now.Before(r.graceUntil)) {
 		if _, ok := r.missing[id]; !ok {
 			r.missing[id] = r.graceUntil
 		}
@@ -119,5 +147,54 @@
 	return dropped
 }
 
-// Servers returns a copy of the entries, keyed by server ID.
-func (r *Registry) Servers() map[string]*Server { return maps.Clone(r.servers) }
+// RecordDeparture records the statement of a server that it is leaving. Only an entry of a
+// later start of the server ends the effect. It reports whether the server was in use.
+func (r *Registry) RecordDeparture(d Departure) bool {
+	s := r.servers[d.Server]
+	if s != nil && !d.refersTo(s.Started) {
+		return false
+	}
+	known, repeated := r.departures[d.Server]
+	if repeated {
+		d.Started = max(d.Started, known.Started)
+		if d.At.Before(known.At) {
+			d.At = known.At
+		}
+	}
+	r.departures[d.Server] = d
+	if len(r.departures) > maxDepartures {
+		r.forgetDeparture()
+	}
+	return s != nil && !s.Leaving && !repeated
+}
+
+// forgetDeparture forgets the oldest departure of a server without an entry.
+func (r *Registry) forgetDeparture() {
+	oldest := ""
+	for id, d := range r.departures {
+		if r.servers[id] == nil && (oldest == "" || d.At.Before(r.departures[oldest].At)) {
+			oldest = id
+		}
+	}
+	delete(r.departures, oldest)
+}
+
+// leaving reports whether a server has announced or stated that it is leaving.
+func (r *Registry) leaving(s *Server) bool {
+	_, stated := r.departures[s.ID]
+	return s.Leaving || stated
+}
+
+// Servers returns a copy of the entries, keyed by server ID. Servers that have stated that they
+// are leaving are marked as such.
+func (r *Registry) Servers() map[string]*Server {
+	servers := maps.Clone(r.servers)
+	for id := range r.departures {
+		if s := servers[id]; s != nil && !s.Leaving {
+			leaving := *s
+			leaving.Leaving = true
+			servers[id] = &leaving
+		}
+	}
+	return servers
+}
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -6,8 +6,8 @@
 package fleet
 
 import (
-	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +27,9 @@
 	initialRunTime = 500 * time.Millisecond
 	// ownView is the picker of a server that an instance picks by its own view.
 	ownView = "own view"
+	// departureReportTime is the time for which an instance reports that a server states that it
+	// is leaving.
+	departureReportTime = 2 * time.Second
 	// hubTotalName is the peer name in the table for the load of all other instances that
 	// a hub reports. No instance has this name.
 	hubTotalName = ""
@@ -52,6 +55,9 @@
 	// configReadAt and serversReadAt are the times of the last successful reads of the
 	// configuration and of the servers.
 	configReadAt, serversReadAt time.Time
+	// ownDepartures holds the statements of servers that they are leaving, to this instance,
+	// until they have been reported for departureReportTime.
+	ownDepartures []serving.Departure
 }
 
 // NewView returns an empty view.
@@ -141,6 +147,43 @@
 	}
 }
 
+// RecordDeparture records the statement of a server that it is leaving. From then on it gets no
+// requests, until an entry shows that it was started again.
+func (v *View) RecordDeparture(d serving.Departure) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.recordDeparture(d)
+}
+
+// recordDeparture reports whether the server was in use. The lock must be held.
+func (v *View) recordDeparture(d serving.Departure) bool {
+	if !v.registry.RecordDeparture(d) {
+		return false
+	}
+	klog.InfoS("server states that it is leaving", "server", d.Server, "started", d.Started, "age", time.Since(d.At))
+	v.setServers()
+	return true
+}
+
+// recordOwnDeparture records a statement to this instance, which it reports to its peers.
+func (v *View) recordOwnDeparture(d serving.Departure) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.recordDeparture(d) {
+		v.ownDepartures = append(v.ownDepartures, d)
+		v.notifyLoadChange()
+	}
+}
+
+// OwnDepartures returns the recent statements of servers to this instance that they are
+// leaving.
+func (v *View) OwnDepartures(now time.Time) []serving.Departure {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.ownDepartures = slices.DeleteFunc(v.ownDepartures, func(d serving.Departure) bool { return now.Sub(d.At) > departureReportTime })
+	return slices.Clone(v.ownDepartures)
+}
+
 // RecordServersRead records a read of the server feed; ok is set if it succeeded.
 func (v *View) RecordServersRead(ok bool) {
 	now := time.Now()
@@ -203,6 +246,14 @@
 	ended  bool
 }
 
+// Usable reports whether the server still takes requests, as far as this instance knows. It is
+// for leases that are not used at once.
+func (l *Lease) Usable() bool {
+	l.view.mu.Lock()
+	defer l.view.mu.Unlock()
+	return l.view.table.Usable(l.Server.ID)
+}
+
 // Pick picks a server for a request and counts the request in flight there. It returns
 // false if no server can take the request.
 func (v *View) Pick(q balance.Query) (*Lease, bool) {
@@ -254,7 +305,11 @@
 // RecordLeaving records that a server states in a response that it is leaving. The server is
 // that of the lease unless the response names another one, which has its address.
 func (l *Lease) RecordLeaving(server string) {
-	klog.InfoS("server states that it is leaving", "server", cmp.Or(server, l.Server.ID), "started", l.Server.Started)
+	statement := serving.Departure{Server: l.Server.ID, Started: l.Server.Started, At: time.Now()}
+	if server != "" && server != l.Server.ID {
+		statement.Server, statement.Started = server, 0
+	}
+	l.view.recordOwnDeparture(statement)
 }
 
 // RecordStepTime records the time of one step of the response: the gap between two events,
--- a/node/gateway/fakes_test.go
+++ b/node/gateway/fakes_test.go
@@ -48,7 +48,7 @@
 }
 
 func (protocol) ParseResponse(_ int, h http.Header) serving.Response {
-	return serving.Response{RequestID: h.Get("Id"), NotRun: h.Get("Refused") != "", Signed: h.Get("Signature") != ""}
+	return serving.Response{RequestID: h.Get("Id"), NotRun: h.Get("Refused") != "", Signed: h.Get("Signature") != "", Leaving: h.Get("Leaving") != "", Server: h.Get("Server-Id")}
 }
 
 func (protocol) SetRetryAfter(h http.Header, after time.Duration) {
--- a/node/jobs/fixture_test.go
+++ b/node/jobs/fixture_test.go
@@ -47,7 +47,7 @@
 }
 
 func (protocol) ParseResponse(_ int, h http.Header) serving.Response {
-	return serving.Response{RequestID: h.Get("Id"), NotRun: h.Get("Refused") != "", Signed: h.Get("Signature") != ""}
+	return serving.Response{RequestID: h.Get("Id"), NotRun: h.Get("Refused") != "", Signed: h.Get("Signature") != "", Leaving: h.Get("Leaving") != ""}
 }
 
 func (protocol) SetRetryAfter(http.Header, time.Duration) {}
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -140,6 +140,11 @@
 		klog.InfoS("reading the item or its saved output failed", "job", accepted.Job, "item", run.index, "err", err)
 		return runOutcome{retryDelay: failedRetryDelay}
 	}
+	if !lease.Usable() {
+		// The server announced that it is leaving while the item was read.
+		lease.End(balance.Abandoned)
+		return runOutcome{}
+	}
 	item := &items[run.index]
 	run.fromStart = !run.hasOutput
 	klog.InfoS("item started", "id", item.ID, "job", run.job, "item", run.index, "server", lease.Server.ID, "by", lease.Picker,
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 )
 
@@ -96,6 +97,20 @@
 	g.opt.View.UpdatePeerRates(report.Name, rates, report.IncludedGrants)
 }
 
+// onDepartures applies a peer's report on servers that state that they are leaving.
+func (g *Group) onDepartures(report *departureReport, _ netip.AddrPort) {
+	now := time.Now()
+	g.mu.Lock()
+	ids := g.serverIDs().byHash
+	g.mu.Unlock()
+	for _, d := range report.Servers {
+		if id, ok := ids[d.Server]; ok {
+			at := now.Add(-time.Duration(max(0, d.AgeMs)) * time.Millisecond)
+			g.opt.View.RecordDeparture(serving.Departure{Server: id, Started: d.Started, At: at})
+		}
+	}
+}
+
 // hubTick sends a hub's reports that are due and preempts batch requests where a surplus
 // lasts. It returns the time at which it has to be called next.
 func (g *Group) hubTick(now time.Time) (next time.Time) {
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/poison"
 	"github.com/jacinthnotch/jacinthnotch/policy/ratelimit"
@@ -32,6 +33,7 @@
 	kindAnswer
 	kindContainment
 	kindRates
+	kindDepartures
 )
 
 // Versions of the protocol between instances. An instance states the version that it
@@ -95,6 +97,23 @@
 	Starts uint32
 }
 
+// departureReport reports the statements of servers that they are leaving, which one instance
+// got.
+type departureReport struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Servers []departure
+}
+
+// departure is the statement of one server that it is leaving.
+type departure struct {
+	_      struct{} `cbor:",toarray"`
+	Server uint32
+	// Started is the start time of the server in Unix milliseconds, and AgeMs the time since
+	// the statement.
+	Started, AgeMs int64
+}
+
 // rateUnit is the unit of rate limits in datagrams, in requests a second.
 const rateUnit = 0.001
 
@@ -255,6 +274,14 @@
 	return byID
 }
 
+func encodeDepartures(now time.Time, list []serving.Departure) []departure {
+	departures := make([]departure, 0, len(list))
+	for _, d := range list {
+		departures = append(departures, departure{Server: hash(d.Server), Started: d.Started, AgeMs: now.Sub(d.At).Milliseconds()})
+	}
+	return departures
+}
+
 func decodeLoads(loads []load, ids map[uint32]string) map[string]balance.Load {
 	byID := make(map[string]balance.Load, len(loads))
 	for _, l := range loads {
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -164,6 +164,8 @@
 		return handle(raw, from, func(b *brokenRun, _ netip.AddrPort) { g.onBrokenRun(b) })
 	case kindRates:
 		return handle(raw, from, g.onRates)
+	case kindDepartures:
+		return handle(raw, from, g.onDepartures)
 	case kindAnswer:
 		return handle(raw, from, func(a *answer, _ netip.AddrPort) { g.onAnswer(a) })
 	case kindContainment:
--- a/node/peers/report.go
+++ b/node/peers/report.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 )
@@ -72,11 +73,13 @@
 	next = earlier(next, nextReport)
 	var report *loadReport
 	var rates *rateReport
+	var departures []serving.Departure
 	if len(due) > 0 {
 		report = &loadReport{
 			Name: g.opt.Name, Incarnation: g.opt.Incarnation, Leaving: g.leaving, IncludedGrants: g.includedGrants(),
 			ReachesStore: reachesStore, Protocol: currentProtocol, Loads: encodeLoads(g.opt.View.OwnLoad()),
 		}
+		departures = g.opt.View.OwnDepartures(now)
 		if own := g.opt.View.OwnRates(); len(own) > 0 {
 			rates = &rateReport{Name: g.opt.Name, IncludedGrants: report.IncludedGrants, Servers: encodeRates(now, own)}
 		}
@@ -89,6 +92,9 @@
 	if rates != nil {
 		g.send(kindRates, rates, due...)
 	}
+	if len(departures) > 0 {
+		g.send(kindDepartures, &departureReport{Name: g.opt.Name, Servers: encodeDepartures(now, departures)}, due...)
+	}
 	if isHub {
 		next = earlier(next, g.hubTick(now))
 	}
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -354,7 +354,7 @@
 }
 
 // ServersToAvoid returns the servers of a service that this instance would not use for
-// a request: those already tried, unreachable, or with a high failure rate.
+// a request: those that are leaving, already tried, unreachable, or with a high failure rate.
 func (t *Table) ServersToAvoid(now time.Time, q Query) []string {
 	group := t.services[q.Service]
 	if group == nil {
@@ -362,7 +362,7 @@
 	}
 	var ids []string
 	for _, s := range group.servers {
-		if q.Tried[s.server.ID] || s.unreachableFor(now, q) || s.failureRate(now) > avoidFailureRate {
+		if !s.server.Usable() || q.Tried[s.server.ID] || s.unreachableFor(now, q) || s.failureRate(now) > avoidFailureRate {
 			ids = append(ids, s.server.ID)
 		}
 	}
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -227,6 +227,12 @@
 	}
 }
 
+// Usable reports whether a server is registered and takes new requests.
+func (t *Table) Usable(server string) bool {
+	s := t.servers[server]
+	return s != nil && s.server.Usable()
+}
+
 func (s *serverState) slots() int {
 	if s.server.Slots > 0 {
 		return s.server.Slots
