platform: decode the versions of servers and the attempt that a take-up names; log them

Entries of servers carry the version of their software, and callers name in Resumes the attempt that brought the first event of a stream. Both are decoded and logged with each server that is picked. No decision depends on them yet.

--- a/domain/serving/registry.go
+++ b/domain/serving/registry.go
@@ -16,6 +16,9 @@
 	// Address is IP:PORT.
 	Address    string
 	DataCentre string
+	// Version is the version of the server's software, not of its weights. Versions have no
+	// order. Servers of one service may have different ones.
+	Version string
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int
 	// Leaving is set once the server has announced that it is draining, or has stated so in
--- a/domain/serving/request.go
+++ b/domain/serving/request.go
@@ -12,6 +12,9 @@
 	// IsResume is set.
 	ResumeAfter int64
 	IsResume    bool
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream;
+	// empty if not stated.
+	Resumes string
 	// PromptTokens is the length of the prompt and OutputTokens the maximum length of
 	// the output; zero if not stated.
 	PromptTokens, OutputTokens int64
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -125,7 +125,7 @@
 			listed[e.Key] = true
 			if v.registry.Put(e.Value) {
 				changed = true
-				klog.InfoS("server entry", "server", e.Key, "service", e.Value.Service, "address", e.Value.Address, "leaving", e.Value.Leaving, "started", e.Value.Started)
+				klog.InfoS("server entry", "server", e.Key, "service", e.Value.Service, "address", e.Value.Address, "serverVersion", e.Value.Version, "leaving", e.Value.Leaving, "started", e.Value.Started)
 			}
 			continue
 		}
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -268,7 +268,7 @@
 	c.progress = progress{}
 	c.tried[lease.Server.ID] = true
 	c.servers = append(c.servers, lease.Server.ID)
-	klog.InfoS("server picked", "id", c.request.ID, "server", lease.Server.ID, "by", lease.Picker, "attempt", c.sentCount, "busy", lease.InFlight,
+	klog.InfoS("server picked", "id", c.request.ID, "server", lease.Server.ID, "serverVersion", lease.Server.Version, "after", c.lastEvent, "resumes", c.request.Resumes, "by", lease.Picker, "attempt", c.sentCount, "busy", lease.InFlight,
 		"slots", lease.Slots, "serversAge", c.gateway.View.ServersAge())
 	timer := c.startResponseTimer(cancel)
 	defer timer.stop()
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -147,7 +147,7 @@
 	}
 	item := &items[run.index]
 	run.fromStart = !run.hasOutput
-	klog.InfoS("item started", "id", item.ID, "job", run.job, "item", run.index, "server", lease.Server.ID, "by", lease.Picker,
+	klog.InfoS("item started", "id", item.ID, "job", run.job, "item", run.index, "server", lease.Server.ID, "serverVersion", lease.Server.Version, "by", lease.Picker,
 		"busy", lease.InFlight, "slots", lease.Slots, "after", run.lastEvent)
 	sendCtx, cancelSend := context.WithCancelCause(ctx)
 	defer cancelSend(nil)
