node/origins: streams go on only at the version of the servers' software that began them

Callers got streams that were joined from two versions, within one answer after a server had crashed, and over several tries when they took a stream up at another instance, with nothing in the answer to show it. Nothing read the version of a server.

- Within an answer a stream that has sent an event goes on at its version only; before, the server's entry is read anew, since the server may have been started again under its id with another version.
A slow server keeps a stream that no other server could go on with.
- A take-up names the attempt that brought the first event.
- A stream whose version is not known is refused (503, not run) unless neither the servers nor the recent streams have more than one version.
- Batch items wait for a slot at the version that began their text, and start anew if it is gone.

--- a/domain/joblog/record.go
+++ b/domain/joblog/record.go
@@ -94,6 +94,17 @@
 	// LastEvent is the last event that Output includes.
 	LastEvent int64    `json:"after"`
 	Output    []Extent `json:"text"`
+	// Origin is where the output began. Only servers of the same version can go on with it.
+	Origin Origin `json:"origin"`
+}
+
+// Origin is the server that began an output.
+type Origin struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	Server  string `json:"server"`
+	// SentAtMs is when the item was sent to it, in Unix milliseconds.
+	SentAtMs int64 `json:"sentAt"`
 }
 
 // Ended records that the caller ended a job.
--- a/domain/serving/registry.go
+++ b/domain/serving/registry.go
@@ -188,6 +188,9 @@
 	return s.Leaving || stated
 }
 
+// Server returns the entry of a server, or nil if it has none.
+func (r *Registry) Server(id string) *Server { return r.servers[id] }
+
 // Servers returns a copy of the entries, keyed by server ID. Servers that have stated that they
 // are leaving are marked as such.
 func (r *Registry) Servers() map[string]*Server {
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
@@ -154,3 +155,79 @@
 		t.Fatalf("%d calls of Newest, want one at the start and one after the expired history", f.newestCalls)
 	}
 }
+
+// logFeed is a feed whose entries are added by the test. A read takes readTime.
+type logFeed struct {
+	port.Feed[serving.Revision]
+	mu      sync.Mutex
+	entries []port.Entry[serving.Revision]
+}
+
+const readTime = 50 * time.Millisecond
+
+func (f *logFeed) add(version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = append(f.entries, revision(version)...)
+}
+
+func (f *logFeed) Newest(ctx context.Context) ([]port.Entry[serving.Revision], int64, error) {
+	return f.Changes(ctx, 0, 0)
+}
+
+func (f *logFeed) Changes(ctx context.Context, from int64, wait time.Duration) ([]port.Entry[serving.Revision], int64, error) {
+	f.mu.Lock()
+	entries := f.entries[from:]
+	f.mu.Unlock()
+	select {
+	case <-time.After(readTime + wait):
+	case <-ctx.Done():
+	}
+	return entries, from + int64(len(entries)), ctx.Err()
+}
+
+// Guards against a decision on entries that are older than the question, and against a late read
+// that takes back what a refresh has applied.
+func TestRefreshAppliesWhatWasWrittenBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed, applied := &logFeed{}, int64(0)
+		feed.add(1)
+		var mu sync.Mutex
+		follower := &Follower[serving.Revision]{Name: "test", Feed: feed, Apply: func(entries []port.Entry[serving.Revision], _ bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, e := range entries {
+				if e.Value.Version < applied {
+					t.Errorf("version %d applied after %d", e.Value.Version, applied)
+				}
+				applied = e.Value.Version
+			}
+		}}
+		if err := follower.Refresh(t.Context()); err == nil {
+			t.Error("refreshed before the first list")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { follower.Run(ctx) })
+		time.Sleep(time.Second)
+		for version := int64(2); version < 50; version++ {
+			feed.add(version)
+			for range 3 {
+				running.Go(func() {
+					if err := follower.Refresh(ctx); err != nil {
+						t.Error(err)
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					if applied < version {
+						t.Errorf("version %d applied, %d was written before", applied, version)
+					}
+				})
+			}
+			time.Sleep(time.Duration(version) * 7 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		cancel()
+		running.Wait()
+	})
+}
--- a/node/fleet/follow.go
+++ b/node/fleet/follow.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/coalesce"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
 
@@ -27,6 +29,8 @@
 	// recovery of the store has to be noticed within the 3 s after which it counts as stable.
 	minRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = 450 * time.Millisecond
+	// refreshTimeout limits a read of Refresh.
+	refreshTimeout = time.Second
 )
 
 // Follower reads a feed continuously and passes its entries on.
@@ -39,6 +43,13 @@
 	Apply func(entries []port.Entry[T], full bool)
 	// OnRead, if not nil, is called after each read; ok is set if the read succeeded.
 	OnRead func(ok bool)
+
+	mu sync.Mutex
+	// applied is the offset up to which entries were applied; listed is set once there was a
+	// full list.
+	applied   int64
+	listed    bool
+	refreshes coalesce.Group
 }
 
 // Run reads the feed until ctx is done.
@@ -68,14 +79,46 @@
 			lost = false
 		}
 		f.notifyRead(true)
-		if len(entries) > 0 || offset < 0 {
-			f.Apply(entries, offset < 0)
-		}
-		offset = nextOffset
+		offset = f.apply(entries, offset < 0, nextOffset)
 		clock.Sleep(ctx, readPause)
 	}
 }
 
+// apply applies the entries of a read that ends at offset next, unless a later read was applied
+// before, and returns the offset of the next read.
+func (f *Follower[T]) apply(entries []port.Entry[T], full bool, next int64) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if full || next > f.applied {
+		if len(entries) > 0 || full {
+			f.Apply(entries, full)
+		}
+		f.applied, f.listed = next, true
+	}
+	return f.applied
+}
+
+// Refresh reads and applies the entries that were written until now, beside Run. Calls at the
+// same time share a read.
+func (f *Follower[T]) Refresh(ctx context.Context) error {
+	return f.refreshes.Do(ctx, refreshTimeout, func(ctx context.Context) error {
+		f.mu.Lock()
+		from, listed := f.applied, f.listed
+		f.mu.Unlock()
+		if !listed {
+			return errNotListed
+		}
+		entries, next, err := f.Feed.Changes(ctx, from, 0)
+		if err == nil {
+			f.apply(entries, false, next)
+		}
+		return err
+	})
+}
+
+// errNotListed is the error of Refresh before the feed was read for the first time.
+var errNotListed = errors.New("fleet: the feed has not been listed yet")
+
 func (f *Follower[T]) read(ctx context.Context, offset int64) ([]port.Entry[T], int64, error) {
 	if offset < 0 {
 		return f.Feed.Newest(ctx)
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -338,6 +338,27 @@
 	return initialRunTime
 }
 
+// Versions returns the versions of the software of the registered servers of a service.
+func (v *View) Versions(service string) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Versions(service)
+}
+
+// HasEligible reports whether there is a server to which a request may go, however loaded.
+func (v *View) HasEligible(q balance.Query) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.HasEligible(q)
+}
+
+// Server returns the entry of a server, or nil if it is not registered.
+func (v *View) Server(id string) *serving.Server {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Server(id)
+}
+
 // Capacity returns the numbers of free slots, slots and servers of a service. The number
 // of free slots is negative when requests are queued.
 func (v *View) Capacity(service string) (free, slots, servers int) {
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -91,6 +91,9 @@
 
 	subjects poison.Request
 	service  string
+	// origin is where the stream began, once an event was forwarded or if the caller takes a
+	// stream up.
+	origin streamOrigin
 	// tried holds the IDs of the servers that were sent the request.
 	tried map[string]bool
 	// sentCount counts the servers that were sent the request, runCount those among them
@@ -158,7 +161,14 @@
 	ctx, cancel := withOptionalDeadline(c.incoming.Context(), c.deadline)
 	defer cancel()
 	c.limitWrites()
+	if c.resumable() && c.request.IsResume && !c.bindToOrigin(ctx) {
+		return
+	}
 	for {
+		if !c.confirmOrigin(ctx) {
+			c.fail(causeUnknownOrigin)
+			return
+		}
 		if c.sentCount > 0 && !c.headerWritten && c.gateway.Containment.Blocked(c.subjects) {
 			c.gateway.Metrics.count("blocked")
 			c.fail(causeBlocked)
@@ -207,7 +217,10 @@
 // acquireServer picks the next server and counts the request in flight there. If there is
 // none, it returns the reason.
 func (c *call) acquireServer() (*fleet.Lease, string) {
-	query := balance.Query{Service: c.service, Class: balance.Online, AtMostOnce: !c.repeatable(), Tried: c.tried}
+	query := c.query()
+	if c.versionIsGone() {
+		return nil, causeNoVersion
+	}
 	if !c.deadline.IsZero() {
 		query.Left, query.RunTime = time.Until(c.deadline), c.gateway.View.MeanRunTime(c.service)
 	}
@@ -270,9 +283,12 @@
 	c.servers = append(c.servers, lease.Server.ID)
 	klog.InfoS("server picked", "id", c.request.ID, "server", lease.Server.ID, "serverVersion", lease.Server.Version, "after", c.lastEvent, "resumes", c.request.Resumes, "by", lease.Picker, "attempt", c.sentCount, "busy", lease.InFlight,
 		"slots", lease.Slots, "serversAge", c.gateway.View.ServersAge())
-	timer := c.startResponseTimer(cancel)
+	timer := c.startResponseTimer(cancel, lease)
 	defer timer.stop()
 	start := time.Now()
+	if c.resumable() && !c.origin.known {
+		c.gateway.Origins.Record(c.request.ID, c.sentCount, lease.Server)
+	}
 	response, err := c.gateway.Pool.Do(ctx, lease.Server.Address, c.serverRequest(lease.Server.ID), c.parseServerHeader)
 	if err != nil {
 		return c.recordBrokenAttempt(ctx, lease, start, err)
@@ -303,16 +319,30 @@
 
 // startResponseTimer returns a timer that cancels the attempt of a repeatable request if
 // the server does not respond in time and another attempt is allowed.
-func (c *call) startResponseTimer(cancel context.CancelCauseFunc) *attemptTimer {
+func (c *call) startResponseTimer(cancel context.CancelCauseFunc, lease *fleet.Lease) *attemptTimer {
 	timeout := max(minResponseTimeout, time.Duration(responseTimeoutShare*float64(c.route.LatencyObjective)))
 	if !c.mayTryAnother() || c.route.LatencyObjective <= 0 {
 		timeout = c.lastAttemptTimeout()
 	}
-	query := balance.Query{Service: c.service, AtMostOnce: !c.repeatable(), Tried: maps.Clone(c.tried)}
+	query, view := c.query(), c.gateway.View
+	query.Tried = maps.Clone(c.tried)
+	hasDeadline := !c.deadline.IsZero()
 	timer := &attemptTimer{
 		pollInterval: ratePollInterval, expired: func() { cancel(errServerTimeout) },
-		// A request that the rate limits keep from all other servers keeps its place in the queue.
-		hasAlternative: func() bool { return !c.gateway.View.RateLimited(c.service) || c.gateway.View.HasUnlimited(query) },
+		hasAlternative: func(begun bool) bool {
+			query := query
+			if begun {
+				query.RequireVersion, query.Version = true, lease.Server.Version
+			}
+			switch {
+			case query.RequireVersion && hasDeadline && !view.HasEligible(query):
+				return false
+			case begun || !view.RateLimited(query.Service):
+				return true
+			}
+			// A request that the rate limits keep from all other servers keeps its place in the queue.
+			return view.HasUnlimited(query)
+		},
 	}
 	timer.start(timeout)
 	return timer
@@ -423,6 +453,9 @@
 	switch {
 	case c.runCount == 0:
 		status, retryAfter = http.StatusServiceUnavailable, c.retryAfter()
+		if cause == causeNoVersion {
+			retryAfter = 0 // it would be refused again
+		}
 	case c.deadlineReached():
 		status = http.StatusGatewayTimeout
 	}
--- a/node/gateway/fakes_test.go
+++ b/node/gateway/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/jacinthnotch/jacinthnotch/domain/origin"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
@@ -33,6 +35,7 @@
 		r.ResumeAfter, _ = strconv.ParseInt(v, 10, 64)
 		r.IsResume = true
 	}
+	r.Resumes = h.Get("Resumes")
 	if v := h.Get("Parts"); v != "" {
 		r.PromptPrefix = strings.Split(v, ",")
 	}
@@ -94,6 +97,35 @@
 	l.tracker.RecordAnswer(l.now, r)
 }
 
+// localOrigins keeps the origins of the streams of one instance.
+type localOrigins struct {
+	view    *fleet.View
+	mu      sync.Mutex
+	origins map[string]origin.Origin
+	// uncertain makes Confirm fail.
+	uncertain bool
+}
+
+func (l *localOrigins) Record(id string, _ int, s *serving.Server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.origins[id] = origin.Origin{Service: s.Service, Version: s.Version, Server: s.ID}
+}
+
+func (l *localOrigins) Resolve(_ context.Context, service, id string) (origin.Origin, origin.Status) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o, ok := l.origins[id]; ok {
+		return o, origin.Known
+	}
+	if versions := l.view.Versions(service); len(versions) == 1 {
+		return origin.Origin{Service: service, Version: versions[0]}, origin.Known
+	}
+	return origin.Origin{}, origin.Unknown
+}
+
+func (l *localOrigins) Confirm(context.Context, origin.Origin, time.Time) bool { return !l.uncertain }
+
 // serverScript responds to a request to any of the servers; n is the number of the
 // request, from 0.
 type serverScript func(c net.Conn, r *http.Request, n int)
@@ -103,6 +135,7 @@
 	url     string
 	view    *fleet.View
 	gateway *Gateway
+	origins *localOrigins
 	entries []port.Entry[serving.Server]
 
 	mu       sync.Mutex
@@ -153,7 +186,8 @@
 	pool := exchange.NewPool(exchange.Options{})
 	t.Cleanup(pool.Close)
 	f.entries = entries
-	f.gateway = &Gateway{View: f.view, Pool: pool, Protocol: protocol{}, Jobs: noJobs{}, Placer: localPlacer{f.view}, Containment: &localContainment{tracker: poison.NewTracker(0)}, Metrics: NewMetrics()}
+	f.origins = &localOrigins{view: f.view, origins: map[string]origin.Origin{}}
+	f.gateway = &Gateway{Origins: f.origins, View: f.view, Pool: pool, Protocol: protocol{}, Jobs: noJobs{}, Placer: localPlacer{f.view}, Containment: &localContainment{tracker: poison.NewTracker(0)}, Metrics: NewMetrics()}
 	front := httptest.NewUnstartedServer(f.gateway)
 	front.Config.ConnContext = WithConn
 	front.Start()
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -127,6 +127,7 @@
 			lease.RecordStepTime(now.Sub(lastReceived))
 		}
 		lastReceived = now
+		c.recordOrigin(lease, start)
 		c.progress.recordEvent(now)
 		if !c.forwardEvent(response, event) {
 			lease.End(balance.Abandoned)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/jacinthnotch/jacinthnotch/domain/origin"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
@@ -60,6 +61,19 @@
 	RecordAnswer(r poison.Request)
 }
 
+// Origins knows at which version of the server software streams began.
+type Origins interface {
+	// Record records that a caller's attempt is sent to a server; attempt counts the servers
+	// that got it.
+	Record(requestID string, attempt int, server *serving.Server)
+	// Resolve returns where the stream began whose first event came with a caller's attempt.
+	// service is the service of the stream's route, or "" if it has several.
+	Resolve(ctx context.Context, service, requestID string) (origin.Origin, origin.Status)
+	// Confirm reports whether a stream that was sent to a server ran at the version that the
+	// server's entry stated then.
+	Confirm(ctx context.Context, o origin.Origin, sentAt time.Time) bool
+}
+
 // Gateway is the HTTP handler for callers' requests.
 type Gateway struct {
 	View        *fleet.View
@@ -68,6 +82,7 @@
 	Jobs        Jobs
 	Placer      Placer
 	Containment Containment
+	Origins     Origins
 	Metrics     *Metrics
 	// Timeouts replaces the default timeouts in tests.
 	Timeouts Timeouts
--- a/node/gateway/timer.go
+++ b/node/gateway/timer.go
@@ -10,11 +10,11 @@
 	mu sync.Mutex
 	// timer is nil once the timer was stopped.
 	timer *time.Timer
-	// begun is set once there was progress. Before, the attempt goes on while hasAlternative
-	// reports that there is no other server, which is asked every pollInterval.
+	// begun is set once there was progress. The attempt goes on while hasAlternative reports
+	// that there is no other server, which is asked every pollInterval.
 	begun          bool
 	pollInterval   time.Duration
-	hasAlternative func() bool
+	hasAlternative func(begun bool) bool
 	expired        func()
 }
 
@@ -30,7 +30,7 @@
 	defer t.mu.Unlock()
 	switch {
 	case t.timer == nil:
-	case !t.begun && !t.hasAlternative():
+	case !t.hasAlternative(t.begun):
 		t.timer.Reset(t.pollInterval)
 	default:
 		t.expired()
--- a/node/jobs/fixture_test.go
+++ b/node/jobs/fixture_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
+	"github.com/jacinthnotch/jacinthnotch/domain/origin"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
@@ -40,7 +41,8 @@
 
 func (protocol) ParseRequest(http.Header) serving.Request { return serving.Request{} }
 
-func (protocol) SetAttemptHeaders(h http.Header, _ string, _ time.Duration, after int64, resumes bool) {
+func (protocol) SetAttemptHeaders(h http.Header, server string, _ time.Duration, after int64, resumes bool) {
+	h.Set("Expect-Server", server)
 	if resumes {
 		h.Set("After", strconv.FormatInt(after, 10))
 	}
@@ -188,6 +190,9 @@
 	store   *store.Store
 	server  *modelServer
 	members *members
+	// versions holds the versions of the servers s0, s1 and so on, which are all at the address of
+	// the model server; one server if it is empty.
+	versions []string
 	// maxWaitingTokens is the limit on waiting tokens of the route at instances that are
 	// started later.
 	maxWaitingTokens int64
@@ -211,6 +216,7 @@
 	name   string
 	url    string
 	index  *jobs.Index
+	view   *fleet.View
 	runner *jobs.Runner
 	kill   func()
 
@@ -238,25 +244,46 @@
 
 func (noAnswers) RecordAnswer(poison.Request) {}
 
+// sureOrigins trusts the versions that the entries of servers state.
+type sureOrigins struct{}
+
+func (sureOrigins) Confirm(context.Context, origin.Origin, time.Time) bool { return true }
+
 // CallTimeout implements jobs.StorePath.
 func (i *instance) CallTimeout() time.Duration { return pathselect.NewPaths().AttemptTimeout() }
 
+// entries returns the entries of the servers.
+func (s *cluster) entries() []port.Entry[serving.Server] {
+	versions := s.versions
+	if len(versions) == 0 {
+		versions = []string{""}
+	}
+	var entries []port.Entry[serving.Server]
+	for i, version := range versions {
+		id := fmt.Sprint("s", i)
+		entries = append(entries, port.Entry[serving.Server]{Key: id, Value: &serving.Server{
+			ID: id, Service: "svc", Address: s.server.listener.Addr().String(), Version: version, Slots: 8,
+		}})
+	}
+	return entries
+}
+
 // start starts an instance. The incarnation distinguishes the starts of one instance.
 func (s *cluster) start(name string, incarnation uint32) *instance {
 	s.t.Helper()
 	client := platform.NewStore(s.store.Address(), exchange.Dial)
 	view := fleet.NewView(rand.New(rand.NewPCG(uint64(incarnation), 2)))
-	view.ApplyServers([]port.Entry[serving.Server]{{Key: "s0", Value: &serving.Server{ID: "s0", Service: "svc", Address: s.server.listener.Addr().String(), Slots: 8}}}, true)
+	view.ApplyServers(s.entries(), true)
 	route := &serving.Route{Name: "batch", Host: testHost, PathPrefix: "/b/", Kind: serving.Batch, MaxAttempts: 3, DueAfter: time.Minute, MaxWaitingTokens: s.maxWaitingTokens, Targets: []serving.Target{{Service: "svc", Weight: 1}}}
 	revision := &serving.Revision{Version: 1, Routes: []*serving.Route{route}}
 	revision.Index()
 	view.ApplyConfig([]port.Entry[serving.Revision]{{Key: "c", Value: revision}}, true)
 	pool := exchange.NewPool(exchange.Options{})
 	blobs := jobs.NewBlobStore(client, jobs.BlobStoreOptions{RecordBytes: 64 << 10, CallBytes: 1 << 20, Partitions: 4, CacheBytes: 1 << 20})
-	i := &instance{cluster: s, name: name, index: jobs.NewIndex(client)}
+	i := &instance{cluster: s, name: name, index: jobs.NewIndex(client), view: view}
 	i.runner = &jobs.Runner{
 		Index: i.index, Blobs: blobs, View: view, Pool: pool, Protocol: protocol{}, Codec: protocol{}, Members: s.members,
-		Placer: localPlacer{view}, Metrics: &jobs.Metrics{}, Answers: noAnswers{}, Self: joblog.Holder{Instance: name, Incarnation: incarnation},
+		Placer: localPlacer{view}, Metrics: &jobs.Metrics{}, Answers: noAnswers{}, Origins: sureOrigins{}, Self: joblog.Holder{Instance: name, Incarnation: incarnation},
 	}
 	i.runner.Init()
 	service := &jobs.Service{
--- /dev/null
+++ b/node/jobs/resume.go
@@ -0,0 +1,106 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
+	"github.com/jacinthnotch/jacinthnotch/domain/origin"
+	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+)
+
+const (
+	// maxVersionWait is the time for which an item waits for a free slot at the version that
+	// began its output, while servers of other versions could run it from the start.
+	maxVersionWait = 2 * time.Second
+	// lowestUrgency is the slack of an item that waits for one version. It must not keep
+	// items of other instances from the slots of other versions.
+	lowestUrgency = time.Hour
+)
+
+// bindToOrigin restricts a placement to the version that began the output of an item, if it has
+// any. It drops the output if no server of the version is left or none has a free slot for too
+// long. It reports whether the placement is restricted to a part of the servers.
+func (r *Runner) bindToOrigin(now time.Time, c candidate, query *balance.Query) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run := c.items[c.index]
+	began, ok := outputOrigin(run, c.job.Items[c.index].Progress)
+	if !ok {
+		return false
+	}
+	bound := *query
+	bound.RequireVersion, bound.Version = true, began.Version
+	versions := r.View.Versions(query.Service)
+	gone := began.Service != query.Service || !r.View.HasEligible(bound)
+	if len(versions) == 1 && !gone {
+		*query = bound
+		return false
+	}
+	if run == nil {
+		run = &itemRun{job: c.job.Job, index: c.index}
+		c.items[c.index] = run
+	}
+	if run.versionWaitSince.IsZero() {
+		run.versionWaitSince = now
+	}
+	if gone || now.Sub(run.versionWaitSince) > maxVersionWait {
+		run.restart(c.job.Items[c.index].Progress)
+		klog.InfoS("output of an item dropped", "job", run.job, "item", run.index, "serverVersion", began.Version, "gone", gone)
+		return false
+	}
+	bound.Slack = max(bound.Slack, lowestUrgency)
+	*query = bound
+	return true
+}
+
+// outputOrigin returns where the output of an item began: that of this instance or, if it goes
+// further, that which another instance saved.
+func outputOrigin(run *itemRun, progress *joblog.Progress) (joblog.Origin, bool) {
+	switch {
+	case progress != nil && (run == nil || run.usesProgress(progress)):
+		return progress.Origin, true
+	case run != nil && run.hasOutput:
+		return run.origin, true
+	}
+	return joblog.Origin{}, false
+}
+
+// usesProgress reports whether the output that another instance saved goes further than that
+// of this instance.
+func (run *itemRun) usesProgress(progress *joblog.Progress) bool {
+	if progress == nil || run.dropsProgress && progress.LastEvent <= run.droppedUpTo {
+		return false
+	}
+	return !run.hasOutput || run.lastEvent < progress.LastEvent
+}
+
+// restart drops the output of an item, and that which another instance saved.
+func (run *itemRun) restart(progress *joblog.Progress) {
+	run.output, run.hasOutput, run.lastEvent, run.spent, run.origin = nil, false, 0, 0, joblog.Origin{}
+	run.versionWaitSince = time.Time{}
+	if progress != nil {
+		run.dropsProgress, run.droppedUpTo = true, progress.LastEvent
+	}
+}
+
+// canGoOn reports whether the leased server has the version that began the output, and whether
+// that version is certain.
+func (r *Runner) canGoOn(ctx context.Context, run *itemRun, lease *fleet.Lease) bool {
+	if !run.hasOutput {
+		return true
+	}
+	if run.origin.Service != lease.Server.Service || run.origin.Version != lease.Server.Version {
+		return false
+	}
+	o := origin.Origin{Service: run.origin.Service, Version: run.origin.Version, Server: run.origin.Server}
+	return r.Origins.Confirm(ctx, o, time.UnixMilli(run.origin.SentAtMs))
+}
+
+// originOf returns the origin of an output that a leased server begins.
+func originOf(lease *fleet.Lease, sentAt time.Time) joblog.Origin {
+	return joblog.Origin{Service: lease.Server.Service, Version: lease.Server.Version, Server: lease.Server.ID, SentAtMs: sentAt.UnixMilli()}
+}
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -72,6 +72,14 @@
 	output    []byte
 	lastEvent int64
 	hasOutput bool
+	// origin is where the output began. The item has waited for a slot at that version since
+	// versionWaitSince.
+	origin           joblog.Origin
+	versionWaitSince time.Time
+	// dropsProgress is set if the output that another instance saved, up to the event
+	// droppedUpTo, is not used.
+	dropsProgress bool
+	droppedUpTo   int64
 	// failures counts responses with status 500. timeouts and breaks count the runs since the
 	// last event that ended by a timeout, or otherwise without a complete response.
 	failures, timeouts, breaks int
@@ -145,6 +153,10 @@
 		lease.End(balance.Abandoned)
 		return runOutcome{}
 	}
+	if !r.canGoOn(ctx, run, lease) {
+		klog.InfoS("output of an item dropped", "job", run.job, "item", run.index, "serverVersion", run.origin.Version, "next", lease.Server.Version)
+		run.restart(progress)
+	}
 	item := &items[run.index]
 	run.fromStart = !run.hasOutput
 	klog.InfoS("item started", "id", item.ID, "job", run.job, "item", run.index, "server", lease.Server.ID, "serverVersion", lease.Server.Version, "by", lease.Picker,
@@ -199,14 +211,14 @@
 
 // restore loads the output that another instance saved.
 func (r *Runner) restore(ctx context.Context, run *itemRun, progress *joblog.Progress) error {
-	if progress == nil || run.hasOutput && run.lastEvent >= progress.LastEvent {
+	if !run.usesProgress(progress) {
 		return nil
 	}
 	output, err := r.Blobs.Read(ctx, progress.Output)
 	if err != nil {
 		return err
 	}
-	run.output, run.lastEvent, run.hasOutput = append([]byte(nil), output...), progress.LastEvent, true
+	run.output, run.lastEvent, run.hasOutput, run.origin = append([]byte(nil), output...), progress.LastEvent, true, progress.Origin
 	return nil
 }
 
@@ -296,9 +308,11 @@
 		}
 		lastReceived = now
 		count++
-		run.timeouts, run.breaks = 0, 0
+		run.timeouts, run.breaks, run.versionWaitSince = 0, 0, time.Time{}
 		if run.hasOutput {
 			run.output = append(run.output, '\n')
+		} else {
+			run.origin = originOf(lease, run.startedAt)
 		}
 		run.output = append(run.output, event.Data()...)
 		run.hasOutput = true
@@ -361,7 +375,7 @@
 	defer cancel()
 	extents, err := r.Blobs.Write(ctx, preferredPartition(run.job), [][]byte{run.output})
 	if err == nil {
-		err = r.Index.Append(ctx, &joblog.Record{Progress: &joblog.Progress{Job: run.job, Item: run.index, LastEvent: run.lastEvent, Output: extents[0]}})
+		err = r.Index.Append(ctx, &joblog.Record{Progress: &joblog.Progress{Job: run.job, Item: run.index, LastEvent: run.lastEvent, Output: extents[0], Origin: run.origin}})
 	}
 	klog.InfoS("partial output saved", "job", run.job, "item", run.index, "after", run.lastEvent, "err", err)
 }
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
+	"github.com/jacinthnotch/jacinthnotch/domain/origin"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
@@ -60,6 +61,13 @@
 	RecordAnswer(r poison.Request)
 }
 
+// Origins makes sure of the version at which an output began.
+type Origins interface {
+	// Confirm reports whether an item that was sent to a server ran at the version that the
+	// server's entry stated then.
+	Confirm(ctx context.Context, o origin.Origin, sentAt time.Time) bool
+}
+
 // Runner runs the items of the jobs that this instance holds.
 type Runner struct {
 	Index    *Index
@@ -73,6 +81,7 @@
 	Metrics  *Metrics
 	// Answers is told of the completed items.
 	Answers Answers
+	Origins Origins
 	// Self identifies this instance.
 	Self joblog.Holder
 
@@ -177,9 +186,11 @@
 			continue
 		}
 		// The lock is not held because Place may call another instance.
-		lease, ok := r.Placer.Place(balance.Query{Service: service, Class: balance.Batch, Headroom: onlineHeadroom, Slack: c.slack})
+		query := balance.Query{Service: service, Class: balance.Batch, Headroom: onlineHeadroom, Slack: c.slack}
+		bound := r.bindToOrigin(now, c, &query)
+		lease, ok := r.Placer.Place(query)
 		if !ok {
-			full[service] = true
+			full[service] = !bound
 			continue
 		}
 		allowed--
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/jacinthnotch/jacinthnotch/domain/origin"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/poison"
@@ -34,6 +35,9 @@
 	kindContainment
 	kindRates
 	kindDepartures
+	kindOrigins
+	kindOriginQuestion
+	kindOriginReply
 )
 
 // Versions of the protocol between instances. An instance states the version that it
@@ -114,6 +118,31 @@
 	Started, AgeMs int64
 }
 
+// originReport reports where streams began, in the encoding of package origins.
+type originReport struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Records []byte
+}
+
+// originQuestion asks a hub where a stream began.
+type originQuestion struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Sequence uint64
+	// Service is the service of the stream's route, or "" if it has several.
+	Service string
+	Stream  uint64
+}
+
+// originReply is a hub's reply to an originQuestion.
+type originReply struct {
+	_                        struct{} `cbor:",toarray"`
+	Sequence                 uint64
+	Status                   origin.Status
+	Service, Version, Server string
+}
+
 // rateUnit is the unit of rate limits in datagrams, in requests a second.
 const rateUnit = 0.001
 
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -55,6 +55,8 @@
 	// OnPreempt preempts one batch request of this instance on a server. It returns false
 	// if the instance has none there.
 	OnPreempt func(server string) bool
+	// Origins is told where streams began; nil means that nobody is.
+	Origins Origins
 }
 
 // Group is the set of all instances, as known to one of them. It is safe for concurrent
@@ -87,6 +89,8 @@
 	// pending holds the requests to hubs that have no reply yet, by sequence number.
 	pending map[uint64]chan grant
 	servers serverList
+	// origins holds the questions about the origins of streams.
+	origins originQuestions
 	// preemptions keeps one order from preempting two batch requests.
 	preemptions preemptionLog
 	// containment has its own lock.
@@ -110,7 +114,7 @@
 	g := &Group{
 		opt: opt, conn: opt.Conn, wakeups: make(chan struct{}, 1), peers: map[string]*peer{}, peersByHash: map[uint32]*peer{},
 		pending: map[uint64]chan grant{}, preemptions: newPreemptionLog(),
-		containment: newContainment(opt.Name),
+		origins: newOriginQuestions(), containment: newContainment(opt.Name),
 	}
 	opt.View.NotifyLoadChanges(g.wake)
 	return g, nil
@@ -166,6 +170,12 @@
 		return handle(raw, from, g.onRates)
 	case kindDepartures:
 		return handle(raw, from, g.onDepartures)
+	case kindOrigins:
+		return handle(raw, from, g.onOrigins)
+	case kindOriginQuestion:
+		return handle(raw, from, g.onOriginQuestion)
+	case kindOriginReply:
+		return handle(raw, from, g.onOriginReply)
 	case kindAnswer:
 		return handle(raw, from, func(a *answer, _ netip.AddrPort) { g.onAnswer(a) })
 	case kindContainment:
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -28,6 +28,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
 	"github.com/jacinthnotch/jacinthnotch/node/jobs"
+	"github.com/jacinthnotch/jacinthnotch/node/origins"
 	"github.com/jacinthnotch/jacinthnotch/node/peer"
 	"github.com/jacinthnotch/jacinthnotch/node/peers"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
@@ -99,6 +100,8 @@
 	store       *relay.Store
 	peerConns   *peer.Pool
 	view        *fleet.View
+	servers     *fleet.Follower[serving.Server]
+	origins     *origins.Index
 	pool        *exchange.Pool
 	group       *peers.Group
 	index       *jobs.Index
@@ -125,22 +128,26 @@
 		CacheBytes:  int(blobCacheMemoryShare * float64(s.Limits.MemoryMB<<20)),
 		IsStoreAway: func() bool { return i.store.Reachability() == pathselect.Unreachable },
 	})
+	i.origins = origins.NewIndex()
 	group, err := peers.NewGroup(peers.Options{
 		Name: s.Instance, DataCentre: s.DataCentre, Cores: s.Limits.Cores, Incarnation: i.incarnation,
 		Listen: s.Listen.PeerAddress(),
 		View:   i.view, Feed: i.feeds.Instances, ReachesStore: i.store.OwnPathUp, OnPreempt: func(server string) bool { return i.runner.PreemptItem(server) },
+		Origins: i.origins,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("serve: open datagram socket: %w", err)
 	}
 	i.group = group
+	i.servers = &fleet.Follower[serving.Server]{Name: "servers", Feed: i.feeds.Servers, Apply: i.view.ApplyServers, OnRead: i.view.RecordServersRead}
+	i.origins.Store, i.origins.View, i.origins.Hubs, i.origins.RefreshServers = i.store, i.view, group, i.servers.Refresh
 	self := joblog.Holder{Instance: s.Instance, Incarnation: i.incarnation}
 	i.runner = &jobs.Runner{
 		Index: i.index, Blobs: blobStore, View: i.view, Pool: i.pool, Protocol: p.Protocol, Codec: p.Protocol,
-		Members: group, Placer: group, Metrics: i.jobMetrics, Answers: group, Self: self,
+		Members: group, Placer: group, Metrics: i.jobMetrics, Answers: group, Origins: i.origins, Self: self,
 	}
 	i.runner.Init()
-	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Containment: group, Metrics: gateway.NewMetrics()}
+	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Containment: group, Origins: i.origins, Metrics: gateway.NewMetrics()}
 	i.gateway.Jobs = &jobs.Service{
 		Index: i.index, Blobs: blobStore, Runner: i.runner, Codec: p.Protocol, Revision: i.view.Revision, StorePath: i.store,
 		Refuse: i.refuse, Self: self,
@@ -255,10 +262,9 @@
 // tasks returns the background tasks of the instance; each runs in its own goroutine.
 func (i *Instance) tasks() []backgroundTask {
 	config := &fleet.Follower[serving.Revision]{Name: "configuration", Feed: i.feeds.Config, Apply: i.view.ApplyConfig, OnRead: i.view.RecordConfigRead}
-	servers := &fleet.Follower[serving.Server]{Name: "servers", Feed: i.feeds.Servers, Apply: i.view.ApplyServers, OnRead: i.view.RecordServersRead}
 	return []backgroundTask{
-		{"configuration", config.Run}, {"servers", servers.Run}, {"datagrams", i.group.Receive}, {"reports", i.group.SendReports},
-		{"job index", i.afterReady(i.index.Follow)}, {"job index appends", i.index.RunAppends}, {"items", i.runner.Run}, {"expiry", i.expireLoop},
+		{"configuration", config.Run}, {"servers", i.servers.Run}, {"datagrams", i.group.Receive}, {"reports", i.group.SendReports},
+		{"job index", i.afterReady(i.index.Follow)}, {"job index appends", i.index.RunAppends}, {"items", i.runner.Run}, {"expiry", i.expireLoop}, {"origins", i.origins.Run},
 		{"store probes", i.store.RunProbes}, {"instances", func(ctx context.Context) { i.group.Announce(ctx, announceWait) }},
 	}
 }
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
@@ -16,6 +17,10 @@
 	AtMostOnce bool
 	// Tried holds the servers that the request was already sent to.
 	Tried map[string]bool
+	// RequireVersion is set for a request that goes on with the output of a server, which only
+	// servers with the same Version of the software can do.
+	RequireVersion bool
+	Version        string
 	// DataCentre is the data centre of the instance that asks. Servers in others cost
 	// more, because traffic between data centres is charged for.
 	DataCentre string
@@ -169,7 +174,7 @@
 	candidates = t.candidates[:0]
 	for _, s := range group.servers {
 		switch {
-		case !s.server.Usable() || len(q.Tried) > 0 && q.Tried[s.server.ID]:
+		case !s.eligible(&q):
 		case !t.rateAllows(now, s, q):
 		case s.unreachableFor(now, q):
 			if unreachable == nil || s.backoffUntil.Before(unreachable.backoffUntil) {
@@ -218,6 +223,32 @@
 	return false
 }
 
+// eligible reports whether a request may go to the server at all.
+func (s *serverState) eligible(q *Query) bool {
+	return s.server.Usable() && !q.Tried[s.server.ID] && (!q.RequireVersion || s.server.Version == q.Version)
+}
+
+// HasEligible reports whether there is a server to which a request may go, however loaded.
+func (t *Table) HasEligible(q Query) bool {
+	group := t.services[q.Service]
+	return group != nil && slices.ContainsFunc(group.servers, func(s *serverState) bool { return s.eligible(&q) })
+}
+
+// Versions returns the versions of the software of the registered servers of a service.
+func (t *Table) Versions(service string) []string {
+	group := t.services[service]
+	if group == nil {
+		return nil
+	}
+	var versions []string
+	for _, s := range group.servers {
+		if !slices.Contains(versions, s.server.Version) {
+			versions = append(versions, s.server.Version)
+		}
+	}
+	return versions
+}
+
 // unreachableFor reports whether the server counts as unreachable for a request. A
 // server whose backoff is over gets one trial request at a time, which must be one that
 // may be repeated.
@@ -347,14 +378,15 @@
 // returns false when this instance does not know the server or would not use it.
 func (t *Table) AcceptPick(now time.Time, server string, q Query) (Choice, bool) {
 	s := t.servers[server]
-	if s == nil || !s.server.Usable() || q.Tried[server] || s.consecutiveUnreachable > 0 && now.Before(s.backoffUntil) {
+	if s == nil || !s.eligible(&q) || s.consecutiveUnreachable > 0 && now.Before(s.backoffUntil) {
 		return Choice{}, false
 	}
 	return s.choice(), true
 }
 
 // ServersToAvoid returns the servers of a service that this instance would not use for
-// a request: those that are leaving, already tried, unreachable, or with a high failure rate.
+// a request: those that are leaving, already tried, of another version than required,
+// unreachable, or with a high failure rate.
 func (t *Table) ServersToAvoid(now time.Time, q Query) []string {
 	group := t.services[q.Service]
 	if group == nil {
@@ -362,7 +394,7 @@
 	}
 	var ids []string
 	for _, s := range group.servers {
-		if !s.server.Usable() || q.Tried[s.server.ID] || s.unreachableFor(now, q) || s.failureRate(now) > avoidFailureRate {
+		if !s.eligible(&q) || s.unreachableFor(now, q) || s.failureRate(now) > avoidFailureRate {
 			ids = append(ids, s.server.ID)
 		}
 	}
--- a/policy/balance/rate.go
+++ b/policy/balance/rate.go
@@ -50,7 +50,7 @@
 func (t *Table) HasUnlimited(now time.Time, q Query) bool {
 	group := t.services[q.Service]
 	return group != nil && slices.ContainsFunc(group.servers, func(s *serverState) bool {
-		return !s.rate.Limited() && s.server.Usable() && !q.Tried[s.server.ID] && !s.unreachableFor(now, q)
+		return !s.rate.Limited() && s.eligible(&q) && !s.unreachableFor(now, q)
 	})
 }
 
