node/gateway: the fake servers of two tests close their connections as they say

TestServerThatSaysItLeavesGetsNothingMore failed in 5 of 60 runs of its cases: 38 or 39 of 40 requests were counted. The fake server ended a stream and closed the connection without saying so, and the next request was sent on it.

--- a/node/gateway/leaving_test.go
+++ b/node/gateway/leaving_test.go
@@ -16,8 +16,8 @@
 	"error":               fullResponse(http.StatusInternalServerError, "failed", "Signature", "s", "Leaving", "1"),
 	"error of the caller": fullResponse(http.StatusNotFound, "no", "Signature", "s", "Leaving", "1"),
 	"refusal":             fullResponse(http.StatusServiceUnavailable, "full", "Refused", "1", "Leaving", "1"),
-	"stream":              fmt.Sprintf(streamHead, "s\r\nLeaving: 1") + chunk(event(1)) + endOfStream,
-	"broken stream":       fmt.Sprintf(streamHead, "s\r\nLeaving: 1") + chunk(event(1)),
+	"stream":              fmt.Sprintf(streamHead, "s\r\nLeaving: 1\r\nConnection: close") + chunk(event(1)) + endOfStream,
+	"broken stream":       fmt.Sprintf(streamHead, "s\r\nLeaving: 1\r\nConnection: close") + chunk(event(1)),
 }
 
 // Guards against requests, retries and resumed streams reaching a server that has said in an
@@ -33,7 +33,7 @@
 				}
 				after := 0
 				_, _ = fmt.Sscan(r.Header.Get("After"), &after)
-				fmt.Fprintf(c, streamHead, "s")
+				fmt.Fprintf(c, streamHead, "s\r\nConnection: close")
 				fmt.Fprint(c, chunk(event(after+1)), endOfStream)
 			})
 			requests := func() (leaving, all int) {
--- a/node/gateway/version_test.go
+++ b/node/gateway/version_test.go
@@ -27,7 +27,7 @@
 	f := newFleet(t, len(versions), resumableStream, func(c net.Conn, r *http.Request, n int) {
 		after, _ := strconv.Atoi(r.Header.Get("After"))
 		last := breakAfter(r.Header.Get("Expect-Server"), n)
-		fmt.Fprintf(c, streamHead, "s")
+		fmt.Fprintf(c, streamHead, "s\r\nConnection: close")
 		for e := after + 1; e <= streamLength; e++ {
 			fmt.Fprint(c, chunk(event(e)))
 			if e == last {
@@ -91,7 +91,7 @@
 // with it.
 func TestSlowStreamIsKeptWithoutAnotherServerOfItsVersion(t *testing.T) {
 	f := newFleet(t, 2, resumableStream, func(c net.Conn, _ *http.Request, _ int) {
-		fmt.Fprintf(c, streamHead, "s")
+		fmt.Fprintf(c, streamHead, "s\r\nConnection: close")
 		fmt.Fprint(c, chunk(event(1)))
 		time.Sleep(2 * minGapTimeout)
 		fmt.Fprint(c, chunk(event(2)), endOfStream)
