node/exchange: a repeated refusal with status 400 is no answer to a later request

A faulty server wrote an earlier refusal once more on a kept connection. A response that names another request was taken for a late copy and discarded, unless its status was 400: that one was taken for the answer. The exemption is gone; a server has no reason to name another request.

--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -123,7 +123,7 @@
 			p.recordFault(faultUnidentified, c)
 			return nil, fmt.Errorf("%w: the response on a reused connection names no request", ErrIncomplete)
 		}
-		if id != "" && r.ID != "" && id != r.ID && response.StatusCode != http.StatusBadRequest {
+		if id != "" && r.ID != "" && id != r.ID {
 			p.recordFault(faultStaleResponse, c)
 			if err := discard(response); err != nil {
 				stopCancel()
--- a/node/gateway/fakes_test.go
+++ b/node/gateway/fakes_test.go
@@ -22,6 +22,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/poison"
+	"github.com/jacinthnotch/jacinthnotch/standin/faulty"
 )
 
 // protocol uses header names of its own, because the gateway must not depend on any
@@ -137,6 +138,8 @@
 	gateway *Gateway
 	origins *localOrigins
 	entries []port.Entry[serving.Server]
+	// faulty holds the stand-ins of a fleet of faulty servers.
+	faulty []*faulty.Server
 
 	mu       sync.Mutex
 	requests []*http.Request
--- a/node/gateway/faulty_test.go
+++ b/node/gateway/faulty_test.go
@@ -28,6 +28,7 @@
 // newFaultyFleet starts servers that answer in the given ways and a gateway before them.
 func newFaultyFleet(t *testing.T, route serving.Route, servers ...faulty.Options) *fakeFleet {
 	t.Helper()
+	f := &fakeFleet{}
 	var addresses []string
 	for _, o := range servers {
 		o.IDHeader, o.Header = "Id", "Signature: s\r\n"
@@ -40,12 +41,21 @@
 		}
 		t.Cleanup(s.Kill)
 		addresses = append(addresses, s.Addr())
+		f.faulty = append(f.faulty, s)
 	}
-	f := &fakeFleet{}
 	f.start(t, addresses, route)
 	return f
 }
 
+// runs returns how often the faulty servers ran a request.
+func (f *fakeFleet) runs(id string) int {
+	n := 0
+	for _, s := range f.faulty {
+		n += s.Runs(id)
+	}
+	return n
+}
+
 var endlessAnswers = []faulty.Answer{
 	faulty.EndlessLine, faulty.EndlessHeaders, faulty.EndlessInterim, faulty.EndlessChunks, faulty.ChunkExtension,
 	faulty.EndlessTrailers, faulty.EndlessEvent, faulty.BeyondLength, faulty.SlowBytes,
@@ -321,6 +331,34 @@
 	}
 }
 
+// Guards against a refusal that a server sent earlier and writes again being taken for the answer
+// to a request that the server runs: the caller would be told that it was not run, or another
+// server would run it as well.
+func TestRepeatedRefusalIsNoAnswer(t *testing.T) {
+	for _, answer := range []faulty.Answer{faulty.RepeatedRefusal, faulty.RepeatedRefusalWithoutID} {
+		for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusBadRequest} {
+			t.Run(fmt.Sprint(answer, "/", status), func(t *testing.T) {
+				f := newFaultyFleet(t, serving.Route{Kind: serving.Unsafe, MaxAttempts: 3, Timeout: 5 * time.Second},
+					faulty.Options{Answer: answer, Refusal: status, RefusalHeader: "Refused: 1\r\n"}, faulty.Options{Answer: answer, Refusal: status, RefusalHeader: "Refused: 1\r\n"})
+				ran := 0
+				for n := range 40 {
+					id := fmt.Sprint("id-", n)
+					response, _, err := f.send(t, "Id", id)
+					runs := f.runs(id)
+					ran += runs
+					refused := err == nil && slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusBadRequest}, response.StatusCode)
+					if runs > 1 || refused && runs > 0 {
+						t.Errorf("%s ran %d times: %v, %v", id, runs, response, err)
+					}
+				}
+				if ran == 0 {
+					t.Error("no request ran")
+				}
+			})
+		}
+	}
+}
+
 var errTest = errors.New("test")
 
 // Guards against a panic of the handler that is reported for a caller that disconnects.
--- a/standin/faulty/faulty.go
+++ b/standin/faulty/faulty.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,7 @@
 // Answer is the way in which the server answers a request.
 type Answer string
 
-// The answers. All but Sound, Copy, LateCopy and Truncated go on until the client closes.
+// The answers. All but Sound, the copies, the refusals and Truncated go on until the client closes.
 const (
 	Sound Answer = "sound"
 	// EndlessLine sends one header line, EndlessHeaders header lines and EndlessInterim
@@ -44,6 +45,11 @@
 	Copy          Answer = "copy"
 	LateCopy      Answer = "late-copy"
 	CopyWithoutID Answer = "copy-without-id"
+	// RepeatedRefusal refuses the first request on each connection with Options.Refusal, and
+	// writes that refusal again before the answer to each later one. RepeatedRefusalWithoutID
+	// leaves the request's ID out of it.
+	RepeatedRefusal          Answer = "repeated-refusal"
+	RepeatedRefusalWithoutID Answer = "repeated-refusal-without-id"
 	// Truncated ends the answer after Options.Bytes bytes.
 	Truncated Answer = "truncated"
 )
@@ -56,6 +62,10 @@
 	// Bytes is the length of a Truncated answer, and Reset makes it end with a TCP reset.
 	Bytes int  `help:"Length of a truncated answer in bytes."`
 	Reset bool `help:"End a truncated answer with a reset."`
+	// Refusal is the status of a RepeatedRefusal, and RefusalHeader its header line, ended by CRLF,
+	// that says that the request was not run.
+	Refusal       int    `help:"Status of a repeated refusal." default:"503"`
+	RefusalHeader string `help:"Header line of a repeated refusal, ended by CRLF." default:"X-Not-Run: 1\r\n"`
 	// IDHeader is the header that names a request, which the server echoes.
 	IDHeader string `help:"Header that the server echoes." default:"X-Request-Id"`
 	// Header holds further header lines of each answer, each ended by CRLF.
@@ -69,11 +79,14 @@
 	*kit.Server
 	options  Options
 	requests atomic.Int64
+	mu       sync.Mutex
+	// runs counts the requests that were run, by ID.
+	runs map[string]int
 }
 
 // New returns a server that is not started.
 func New(o Options) *Server {
-	s := &Server{options: o}
+	s := &Server{options: o, runs: map[string]int{}}
 	s.Server = kit.NewServer(s.serve)
 	return s
 }
@@ -81,6 +94,14 @@
 // Requests returns the number of requests that were read.
 func (s *Server) Requests() int64 { return s.requests.Load() }
 
+// Runs returns how often the request with an ID was run. Only the answers RepeatedRefusal and
+// RepeatedRefusalWithoutID count runs.
+func (s *Server) Runs(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
 func (s *Server) serve(l net.Listener) {
 	for {
 		conn, err := l.Accept()
@@ -94,6 +115,8 @@
 func (s *Server) serveConn(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
+	// refusal is the refusal of the first request on the connection.
+	refusal := ""
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -103,12 +126,42 @@
 			return
 		}
 		s.requests.Add(1)
-		if !s.answer(conn, r) {
-			return
+		switch s.options.Answer {
+		case RepeatedRefusal, RepeatedRefusalWithoutID:
+			if refusal == "" {
+				refusal = s.refusal(r)
+				if !write(conn, s.refusalTo(r)) {
+					return
+				}
+				continue
+			}
+			s.mu.Lock()
+			s.runs[r.Header.Get(s.options.IDHeader)]++
+			s.mu.Unlock()
+			if !write(conn, refusal+s.sound(r)) {
+				return
+			}
+		default:
+			if !s.answer(conn, r) {
+				return
+			}
 		}
 	}
 }
 
+// refusalTo returns a refusal that names its request.
+func (s *Server) refusalTo(r *http.Request) string {
+	return fmt.Sprintf("HTTP/1.1 %d Refused\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", s.options.Refusal, s.options.IDHeader, r.Header.Get(s.options.IDHeader), s.options.RefusalHeader)
+}
+
+// refusal returns the refusal that is repeated.
+func (s *Server) refusal(r *http.Request) string {
+	if s.options.Answer == RepeatedRefusalWithoutID {
+		return fmt.Sprintf("HTTP/1.1 %d Refused\r\n%sContent-Length: 0\r\n\r\n", s.options.Refusal, s.options.RefusalHeader)
+	}
+	return s.refusalTo(r)
+}
+
 // head returns the head of an answer with the given framing header line.
 func (s *Server) head(r *http.Request, framing string) string {
 	head := "HTTP/1.1 200 OK\r\n"
