node/exchange: a request that a kept connection has carried before goes on another one

A batch item is sent with the same ID each time, so that a late copy of an earlier refusal, or of any answer, could not be told from the answer to the next run on the same connection; nor could it for a request without an ID. Such requests get a new connection.

--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -79,7 +79,7 @@
 	if maxIdleTime <= 0 {
 		maxIdleTime = p.options.MaxIdleTime
 	}
-	c, err := p.get(ctx, address, maxIdleTime)
+	c, err := p.get(ctx, address, r.ID, maxIdleTime)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -102,6 +102,7 @@
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
 	reused := c.used
 	c.used = true
+	c.carried.add(r.ID)
 	bodyWritten, err := send(c, r)
 	if err != nil {
 		stopCancel()
--- a/node/exchange/pool.go
+++ b/node/exchange/pool.go
@@ -6,10 +6,12 @@
 	"errors"
 	"expvar"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 )
 
@@ -70,6 +72,8 @@
 	reader  *bufio.Reader
 	head    *headLimiter
 	address string
+	// carried holds the requests that the connection has carried.
+	carried carriedIDs
 	// used is set once the connection has carried a request.
 	used bool
 	// expiresAt is the time after which the connection is not reused.
@@ -77,6 +81,24 @@
 	idleSince time.Time
 }
 
+// maxCarriedIDs is the number of the latest requests of a connection that are told apart.
+const maxCarriedIDs = 32
+
+// carriedIDs holds the hashes of the IDs of the latest requests of a connection.
+type carriedIDs struct {
+	hashes [maxCarriedIDs]uint64
+	count  int
+}
+
+func (c *carriedIDs) add(id string) {
+	c.hashes[c.count%maxCarriedIDs] = xxhash.Sum64String(id)
+	c.count++
+}
+
+func (c *carriedIDs) contains(id string) bool {
+	return slices.Contains(c.hashes[:min(c.count, maxCarriedIDs)], xxhash.Sum64String(id))
+}
+
 // NewPool returns an empty pool.
 func NewPool(options Options) *Pool {
 	if options.DialTimeout <= 0 {
@@ -102,15 +124,20 @@
 }
 
 // get returns a pooled connection that has been idle for at most maxIdleTime, or opens a
-// new one.
-func (p *Pool) get(ctx context.Context, address string, maxIdleTime time.Duration) (*conn, error) {
-	for {
+// new one. A request without an ID, or one that a connection has carried before, needs another
+// one: a late copy of an earlier response could not be told from the response to it.
+func (p *Pool) get(ctx context.Context, address, id string, maxIdleTime time.Duration) (*conn, error) {
+	for id != "" {
 		c := p.takeIdle(address, maxIdleTime)
 		if c == nil {
 			break
 		}
 		open, unread := c.state()
 		if open && !unread {
+			if c.carried.contains(id) {
+				_ = c.Close()
+				break
+			}
 			return c, nil
 		}
 		if unread {
