policy/balance: a batch request that waits for one version reserves only the servers of that version

Items that wait for a slot at the version that began their text were placed last, since a waiting request kept the free slots of all servers from less urgent ones.

A waiting request now reserves the servers that it can use. Such items wait by their own slack, and start anew elsewhere once they have waited for as long as their output took, and then only when there is a slot.

--- a/node/jobs/resume.go
+++ b/node/jobs/resume.go
@@ -4,39 +4,34 @@
 	"context"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/domain/origin"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 )
 
-const (
-	// maxVersionWait is the time for which an item waits for a free slot at the version that
-	// began its output, while servers of other versions could run it from the start.
-	maxVersionWait = 2 * time.Second
-	// lowestUrgency is the slack of an item that waits for one version. It must not keep
-	// items of other instances from the slots of other versions.
-	lowestUrgency = time.Hour
-)
+// minVersionWait is the least time for which an item waits for a free slot at the version that
+// began its output, before servers of other versions may run it from the start.
+const minVersionWait = 2 * time.Second
 
 // bindToOrigin restricts a placement to the version that began the output of an item, if it has
-// any. It drops the output if no server of the version is left or none has a free slot for too
-// long. It reports whether the placement is restricted to a part of the servers.
+// any. The item may be run from the start elsewhere once no server of the version is left, or
+// once it has waited for a free slot there for as long as the lost output took. It reports
+// whether the placement is restricted to a part of the servers.
 func (r *Runner) bindToOrigin(now time.Time, c candidate, query *balance.Query) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	run := c.items[c.index]
 	began, ok := outputOrigin(run, c.job.Items[c.index].Progress)
-	if !ok {
+	if !ok || began.Service != query.Service {
 		return false
 	}
 	bound := *query
 	bound.RequireVersion, bound.Version = true, began.Version
-	versions := r.View.Versions(query.Service)
-	gone := began.Service != query.Service || !r.View.HasEligible(bound)
-	if len(versions) == 1 && !gone {
+	if !r.View.HasEligible(bound) {
+		return false
+	}
+	if len(r.View.Versions(query.Service)) == 1 {
 		*query = bound
 		return false
 	}
@@ -47,12 +42,9 @@
 	if run.versionWaitSince.IsZero() {
 		run.versionWaitSince = now
 	}
-	if gone || now.Sub(run.versionWaitSince) > maxVersionWait {
-		run.restart(c.job.Items[c.index].Progress)
-		klog.InfoS("output of an item dropped", "job", run.job, "item", run.index, "serverVersion", began.Version, "gone", gone)
+	if now.Sub(run.versionWaitSince) > max(minVersionWait, run.spent) {
 		return false
 	}
-	bound.Slack = max(bound.Slack, lowestUrgency)
 	*query = bound
 	return true
 }
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -369,3 +369,38 @@
 		t.Fatalf("own load %v after the report period, want the request at s02", loads)
 	}
 }
+
+// Guards against a batch request that waits for servers of one version keeping the free slots of
+// others from less urgent requests, and against it losing the slots that it can take to them.
+func TestWaitForOneVersionReservesNoOtherServers(t *testing.T) {
+	tb := newTestTable(4, 1)
+	for _, id := range []string{"s00", "s01"} {
+		tb.servers[id].server.Version = "v1"
+		tb.RequestStarted(id, Online)
+	}
+	pick := func(requester string, slack time.Duration, tried map[string]bool, requireVersion bool) (Choice, bool) {
+		return tb.Pick(epoch, Query{
+			Service: "svc", Class: Batch, CompleteView: true, Requester: requester, Slack: slack, Tried: tried, RequireVersion: requireVersion, Version: "v1",
+		})
+	}
+	// As a hub knows it, the first instance excludes the servers of the other version.
+	for _, excluded := range []map[string]bool{nil, {"s02": true, "s03": true}} {
+		if c, ok := pick("bound", time.Second, excluded, excluded == nil); ok {
+			t.Fatalf("picked %s, which has no free slot", c.Server.ID)
+		}
+		if c, ok := pick("unbound", time.Minute, nil, false); !ok || c.Server.Version == "v1" {
+			t.Fatalf("%v %v, want a server that the other request cannot use", c, ok)
+		}
+		tb.RequestEnded(epoch, "s00", Online, Answered)
+		tb.servers["s02"].server.Leaving, tb.servers["s03"].server.Leaving = true, true
+		if c, ok := pick("unbound", time.Minute, nil, false); ok {
+			t.Fatalf("%s goes to the less urgent request", c.Server.ID)
+		}
+		if c, ok := pick("bound", time.Second, excluded, excluded == nil); !ok || c.Server.ID != "s00" {
+			t.Fatalf("%v %v, want s00", c, ok)
+		}
+		tb.RequestStarted("s00", Online)
+		tb.servers["s02"].server.Leaving, tb.servers["s03"].server.Leaving = false, false
+		clear(tb.batchWaits)
+	}
+}
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -138,9 +138,6 @@
 // Pick returns the server for a request. It returns false when no server is eligible,
 // or when a batch request has to wait.
 func (t *Table) Pick(now time.Time, q Query) (Choice, bool) {
-	if q.Class == Batch && t.moreUrgentWait(now, q) {
-		return Choice{}, false
-	}
 	candidates, unreachable := t.evaluate(now, q)
 	if len(candidates) == 0 {
 		if q.Class == Batch {
@@ -172,6 +169,7 @@
 	}
 	median := group.medianStepTime(now)
 	candidates = t.candidates[:0]
+	t.findUrgentWaits(now, &q)
 	for _, s := range group.servers {
 		switch {
 		case !s.eligible(&q):
@@ -180,7 +178,7 @@
 			if unreachable == nil || s.backoffUntil.Before(unreachable.backoffUntil) {
 				unreachable = s
 			}
-		case q.Class == Batch && (s.inFlight()+q.Headroom >= s.slots() || s.failureRate(now) > maxBatchFailureRate):
+		case q.Class == Batch && (s.inFlight()+q.Headroom >= s.slots() || s.failureRate(now) > maxBatchFailureRate || t.isReserved(s)):
 		default:
 			tier := s.tier()
 			candidates = append(candidates, candidate{s, s.score(now, q, tier, median), tier})
@@ -195,32 +193,43 @@
 	service string
 	slack   time.Duration
 	since   time.Time
+	// excluded holds the servers that cannot take the request.
+	excluded map[string]bool
+	// version is the version of the servers that can, if requireVersion is set.
+	requireVersion bool
+	version        string
 }
 
 // recordBatchWait records a batch request that found no free slot.
 func (t *Table) recordBatchWait(now time.Time, q Query) {
 	if q.Class == Batch && q.Requester != "" {
-		t.batchWaits[q.Requester] = batchWait{q.Service, q.Slack, now}
+		t.batchWaits[q.Requester] = batchWait{q.Service, q.Slack, now, q.Tried, q.RequireVersion, q.Version}
 	}
 }
 
-// moreUrgentWait reports whether another instance waits for a slot with less slack; the
-// request is then recorded as waiting as well. Without this rule an instance whose item
-// has just ended would take the slot at once, and the others would never get one.
-func (t *Table) moreUrgentWait(now time.Time, q Query) bool {
-	if q.Requester == "" {
-		return false
+// findUrgentWaits finds the batch requests of other instances that wait for a slot with less
+// slack, in a buffer that the next call reuses. Without them an instance whose item has just
+// ended would take the slot at once, and the others would never get one.
+func (t *Table) findUrgentWaits(now time.Time, q *Query) {
+	t.urgentWaits = t.urgentWaits[:0]
+	if q.Class != Batch || q.Requester == "" {
+		return
 	}
 	for requester, w := range t.batchWaits {
 		switch age := now.Sub(w.since); {
 		case age > batchWaitTTL:
 			delete(t.batchWaits, requester)
 		case requester != q.Requester && w.service == q.Service && w.slack-age < q.Slack-slackMargin:
-			t.recordBatchWait(now, q)
-			return true
+			t.urgentWaits = append(t.urgentWaits, w)
 		}
 	}
-	return false
+}
+
+// isReserved reports whether a more urgent batch request waits for a slot of the server.
+func (t *Table) isReserved(s *serverState) bool {
+	return slices.ContainsFunc(t.urgentWaits, func(w batchWait) bool {
+		return !w.excluded[s.server.ID] && (!w.requireVersion || w.version == s.server.Version)
+	})
 }
 
 // eligible reports whether a request may go to the server at all.
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -184,7 +184,9 @@
 	// batchWaits holds, by requesting instance, the batch requests that recently
 	// found no free slot.
 	batchWaits map[string]batchWait
-	random     *rand.Rand
+	// urgentWaits is the buffer of findUrgentWaits.
+	urgentWaits []batchWait
+	random      *rand.Rand
 	// candidates is the buffer of Pick.
 	candidates []candidate
 }
