node/origins: records of streams go to both hubs at once

The second hub got only the repeated record, so that it knew nothing of the last 100 ms when it became the first one. Now each hub gets both.

--- a/node/origins/origins.go
+++ b/node/origins/origins.go
@@ -32,8 +32,8 @@
 	// event of a stream.
 	sendInterval  = 5 * time.Millisecond
 	writeInterval = 40 * time.Millisecond
-	// repeatDelay is the time after which an instance sends a record a second time, to all
-	// hubs. The others keep it for standbyTime, in case the first one is lost.
+	// repeatDelay is the time after which an instance sends a record a second time. Hubs other
+	// than the first one keep it for standbyTime, in case that one is lost.
 	repeatDelay = 100 * time.Millisecond
 	standbyTime = 2 * time.Second
 	// writeRetryDelay is the delay after a failed append, and writeTimeout limits an append.
@@ -73,8 +73,8 @@
 	// ActsAsFirstHub reports whether this instance is the first hub, or has to act as one
 	// because it reaches none.
 	ActsAsFirstHub() bool
-	// SendOrigins sends encoded records to the first hub or to all.
-	SendOrigins(payload []byte, toAll bool)
+	// SendOrigins sends encoded records to the hubs.
+	SendOrigins(payload []byte)
 	// AskOrigin asks the first hub for the origin of a stream. It returns false without a
 	// reply.
 	AskOrigin(ctx context.Context, service string, id uint64) (origin.Origin, origin.Status, bool)
@@ -106,7 +106,7 @@
 type pendingRecord struct {
 	origin.Record
 	since time.Time
-	// own is set for a record of this instance, and sent once it was sent to the first hub.
+	// own is set for a record of this instance, and sent once it was sent to the hubs.
 	own, sent bool
 }
 
@@ -204,7 +204,7 @@
 
 // report sends the pending records that are due to the hubs.
 func (x *Index) report(now time.Time) {
-	var first, again []origin.Record
+	var due []origin.Record
 	x.mu.Lock()
 	kept := x.pending[:0]
 	for _, p := range x.pending {
@@ -215,9 +215,9 @@
 			}
 		case !p.sent:
 			p.sent = true
-			first = append(first, p.Record)
+			due = append(due, p.Record)
 		case age >= repeatDelay:
-			again = append(again, p.Record)
+			due = append(due, p.Record)
 			continue
 		}
 		kept = append(kept, p)
@@ -225,17 +225,12 @@
 	clear(x.pending[len(kept):])
 	x.pending = kept
 	x.mu.Unlock()
-	x.send(first, false)
-	x.send(again, true)
-}
-
-func (x *Index) send(records []origin.Record, toAll bool) {
-	for chunk := range slices.Chunk(records, maxSentRecords) {
+	for chunk := range slices.Chunk(due, maxSentRecords) {
 		raw, err := encode(chunk)
 		if err != nil {
 			klog.ErrorS(err, "encoding origins failed")
 			return
 		}
-		x.Hubs.SendOrigins(raw, toAll)
+		x.Hubs.SendOrigins(raw)
 	}
 }
--- a/node/peers/origins.go
+++ b/node/peers/origins.go
@@ -57,16 +57,9 @@
 	return g.hub.since
 }
 
-// SendOrigins sends records of origins to the hub that is asked for servers, or to all hubs.
-func (g *Group) SendOrigins(records []byte, toAll bool) {
-	report := &originReport{Name: g.opt.Name, Records: records}
-	if toAll {
-		g.sendToHubs(kindOrigins, report)
-		return
-	}
-	if to, ok := g.askedHubAddress(); ok {
-		g.send(kindOrigins, report, to)
-	}
+// SendOrigins sends records of origins to the hubs.
+func (g *Group) SendOrigins(records []byte) {
+	g.sendToHubs(kindOrigins, &originReport{Name: g.opt.Name, Records: records})
 }
 
 // askedHubAddress returns the address of the hub that is asked for servers.
