node/gateway: under rate limits only a standing queue is kept short

While servers state rate limits, a request that would wait for more than half of its objective was refused at once.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -243,26 +243,29 @@
 // excessiveWait returns a reason if the request is expected to wait too long in the server's
 // queue.
 func (c *call) excessiveWait(lease *fleet.Lease) string {
-	if c.deadline.IsZero() || lease.QueuePosition <= 0 {
+	if c.deadline.IsZero() {
 		return ""
 	}
 	wait := time.Duration(float64(lease.QueuePosition) / float64(lease.Slots) * float64(c.gateway.View.MeanRunTime(c.service)))
-	if wait <= c.maxQueueWait() {
+	if wait <= c.maxQueueWait(wait) {
 		return ""
 	}
 	return fmt.Sprintf("the expected wait of %d ms is too long", wait.Milliseconds())
 }
 
 // maxQueueWait returns the longest time for which the request may be expected to wait in a
-// server's queue.
-func (c *call) maxQueueWait() time.Duration {
-	wait := time.Duration(maxQueueWaitShare * float64(time.Until(c.deadline)))
+// server's queue, where it would wait for the given time now.
+func (c *call) maxQueueWait(wait time.Duration) time.Duration {
+	longest := time.Duration(maxQueueWaitShare * float64(time.Until(c.deadline)))
 	if c.runCount == 0 && c.sentCount == 0 && c.gateway.View.RateLimited(c.service) {
-		// While rate limits keep requests from most servers, the others would only be late one
-		// after the other. A request that returns a little later finds a slot.
-		wait = min(wait, time.Duration(maxRateQueueShare*float64(c.route.LatencyObjective)))
+		target := time.Duration(maxRateQueueShare * float64(c.route.LatencyObjective))
+		if c.gateway.queues.isStanding(c.service, wait, target) {
+			// Rate limits keep requests from most servers, and at the others all would be late one
+			// after the other. A request that returns a little later finds a slot.
+			return min(longest, target)
+		}
 	}
-	return wait
+	return longest
 }
 
 // mayWaitForRate reports whether the request may wait until the rate limit of a server allows
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -86,6 +86,7 @@
 	Metrics     *Metrics
 	// Timeouts replaces the default timeouts in tests.
 	Timeouts Timeouts
+	queues   queues
 }
 
 // Timeouts are the times after which a gateway ends requests that make no progress. Zero
