--- a/standin/faulty/faulty.go
+++ b/standin/faulty/faulty.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,9 @@
 	// leaves the request's ID out of it.
 	RepeatedRefusal          Answer = "repeated-refusal"
 	RepeatedRefusalWithoutID Answer = "repeated-refusal-without-id"
+	// Resumable sends an event stream that it resumes after the event that Options.ResumeHeader
+	// names. A stream that it does not resume breaks after Options.BreakAfter events, if set.
+	Resumable Answer = "resumable"
 	// Truncated ends the answer after Options.Bytes bytes.
 	Truncated Answer = "truncated"
 )
@@ -59,6 +63,10 @@
 	Answer Answer `help:"How each request is answered." default:"sound"`
 	// Interval is the time between two bytes of SlowBytes, and before the copy of LateCopy.
 	Interval time.Duration `help:"Time between two bytes, or before a late copy." default:"100ms"`
+	// ResumeHeader names the last event that the client has, and BreakAfter is the number of
+	// events after which a stream without it breaks.
+	ResumeHeader string `help:"Header that names the last event of a client." default:"Last-Event-Id"`
+	BreakAfter   int    `help:"Number of events after which a new stream breaks."`
 	// Bytes is the length of a Truncated answer, and Reset makes it end with a TCP reset.
 	Bytes int  `help:"Length of a truncated answer in bytes."`
 	Reset bool `help:"End a truncated answer with a reset."`
@@ -223,6 +231,8 @@
 		ok := write(conn, s.sound(r))
 		time.Sleep(s.options.Interval)
 		return ok && write(conn, s.sound(r))
+	case Resumable:
+		return s.resume(conn, r, chunked)
 	case Truncated:
 		whole := s.sound(r)
 		_ = write(conn, whole[:min(s.options.Bytes, len(whole))])
@@ -236,6 +246,25 @@
 	return write(conn, s.sound(r))
 }
 
+// resume sends the events that the client does not have yet, Options.Interval apart. It closes the
+// connection, as it says.
+func (s *Server) resume(conn net.Conn, r *http.Request, head string) bool {
+	after, _ := strconv.Atoi(r.Header.Get(s.options.ResumeHeader))
+	events := strings.SplitAfter(Events, "\n\n")[:3]
+	ok := write(conn, strings.TrimSuffix(head, "\r\n")+"Connection: close\r\n\r\n")
+	for n := after; ok && n < len(events); n++ {
+		if after == 0 && n > 0 && n == s.options.BreakAfter {
+			return false
+		}
+		if n > after {
+			time.Sleep(s.options.Interval)
+		}
+		ok = write(conn, chunk(events[n]))
+	}
+	_ = write(conn, "0\r\n\r\n")
+	return false
+}
+
 func write(conn net.Conn, text string) bool {
 	_, err := io.WriteString(conn, text)
 	return err == nil
