node/jobs: the last look at a leased server comes right before the item is sent; a text goes on at its service

Confirming the version of a text may read the store, so that a server could begin to leave meanwhile. An item of a route that is split between services started anew if the other service was chosen. Found by reading the diff; no run showed either.

--- a/node/jobs/resume.go
+++ b/node/jobs/resume.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/domain/origin"
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 )
@@ -23,15 +25,16 @@
 	defer r.mu.Unlock()
 	run := c.items[c.index]
 	began, ok := outputOrigin(run, c.job.Items[c.index].Progress)
-	if !ok || began.Service != query.Service {
+	if !ok || !slices.ContainsFunc(c.route.Targets, func(t serving.Target) bool { return t.Service == began.Service }) {
 		return false
 	}
 	bound := *query
+	bound.Service = began.Service
 	bound.RequireVersion, bound.Version = true, began.Version
 	if !r.View.HasEligible(bound) {
 		return false
 	}
-	if len(r.View.Versions(query.Service)) == 1 {
+	if len(r.View.Versions(bound.Service)) == 1 {
 		*query = bound
 		return false
 	}
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -148,15 +148,15 @@
 		klog.InfoS("reading the item or its saved output failed", "job", accepted.Job, "item", run.index, "err", err)
 		return runOutcome{retryDelay: failedRetryDelay}
 	}
+	if !r.canGoOn(ctx, run, lease) {
+		klog.InfoS("output of an item dropped", "job", run.job, "item", run.index, "serverVersion", run.origin.Version, "next", lease.Server.Version)
+		run.restart(progress)
+	}
 	if !lease.Usable() {
 		// The server announced that it is leaving while the item was read.
 		lease.End(balance.Abandoned)
 		return runOutcome{}
 	}
-	if !r.canGoOn(ctx, run, lease) {
-		klog.InfoS("output of an item dropped", "job", run.job, "item", run.index, "serverVersion", run.origin.Version, "next", lease.Server.Version)
-		run.restart(progress)
-	}
 	item := &items[run.index]
 	run.fromStart = !run.hasOutput
 	klog.InfoS("item started", "id", item.ID, "job", run.job, "item", run.index, "server", lease.Server.ID, "serverVersion", lease.Server.Version, "by", lease.Picker,
