node/origins: a record of the topic holds 1,000 streams at most

After an outage of the store up to 16,384 streams were written in one record, which a store with small records refuses for ever. The test of failed writes has 3,000 streams now.

--- a/node/origins/origins.go
+++ b/node/origins/origins.go
@@ -41,8 +41,8 @@
 	writeTimeout    = 2 * time.Second
 	// maxPending limits the records that wait to be sent or written.
 	maxPending = 1 << 14
-	// maxSentRecords limits the records of one datagram.
-	maxSentRecords = 1000
+	// maxEncodedStreams limits the streams of one datagram and of one record of the topic.
+	maxEncodedStreams = 1000
 	// askTimeout limits a question to the hub, and resolveTimeout the whole search for an
 	// origin.
 	askTimeout     = 150 * time.Millisecond
@@ -182,20 +182,17 @@
 	if len(batch) == 0 {
 		return
 	}
-	records := make([]origin.Record, len(batch))
+	list := make([]origin.Record, len(batch))
 	for i, p := range batch {
-		records[i] = p.Record
-	}
-	raw, err := encode(records)
-	if err == nil {
-		writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		_, err = x.Store.Append(writeCtx, partition, [][]byte{raw})
-		cancel()
+		list[i] = p.Record
 	}
+	writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err := x.Store.Append(writeCtx, partition, encodeChunks(list))
 	if err == nil {
 		return
 	}
-	klog.V(1).InfoS("writing the origins of streams failed", "streams", len(records), "err", err)
+	klog.V(1).InfoS("writing the origins of streams failed", "streams", len(list), "err", err)
 	x.mu.Lock()
 	x.pending = append(batch, x.pending...)
 	x.mu.Unlock()
@@ -225,12 +222,21 @@
 	clear(x.pending[len(kept):])
 	x.pending = kept
 	x.mu.Unlock()
-	for chunk := range slices.Chunk(due, maxSentRecords) {
+	for _, raw := range encodeChunks(due) {
+		x.Hubs.SendOrigins(raw)
+	}
+}
+
+// encodeChunks encodes records, maxEncodedStreams at a time.
+func encodeChunks(records []origin.Record) [][]byte {
+	var chunks [][]byte
+	for chunk := range slices.Chunk(records, maxEncodedStreams) {
 		raw, err := encode(chunk)
 		if err != nil {
 			klog.ErrorS(err, "encoding origins failed")
-			return
+			continue
 		}
-		x.Hubs.SendOrigins(raw)
+		chunks = append(chunks, raw)
 	}
+	return chunks
 }
--- a/node/origins/origins_test.go
+++ b/node/origins/origins_test.go
@@ -122,7 +122,7 @@
 			t.Errorf("%d appends in 4 s, want 25 a second", n)
 		}
 		c.store.SetDown(true)
-		began = c.beginStreams(100)
+		began = c.beginStreams(3 * maxEncodedStreams)
 		c.store.SetDown(false)
 		time.Sleep(2 * writeRetryDelay)
 		c.store.Prepend([]byte("not a record"), 10*tailRecords, 100)
