node/origins: streams without an ID are not recorded

A take-up that names no attempt would have got the version of any stream without an ID. Found by reading the diff; TestStreamWithoutARecord asks for it.

--- a/node/origins/origins.go
+++ b/node/origins/origins.go
@@ -115,8 +115,12 @@
 	return &Index{wakeups: make(chan struct{}, 1), table: origin.NewTable()}
 }
 
-// Record records that a stream is sent to a server. attempt counts the servers that got it.
+// Record records that a stream is sent to a server. attempt counts the servers that got it. A
+// stream without an ID cannot be told from others.
 func (x *Index) Record(requestID string, attempt int, server *serving.Server) {
+	if requestID == "" {
+		return
+	}
 	now := time.Now()
 	x.add(now, []origin.Record{{
 		ID: streamID(requestID), Attempt: uint8(min(attempt, 255)), SentAt: now,
--- a/node/origins/origins_test.go
+++ b/node/origins/origins_test.go
@@ -135,7 +135,8 @@
 // against refusals while there is only one.
 func TestStreamWithoutARecord(t *testing.T) {
 	inCluster(t, func(t *testing.T, c *cluster) {
-		c.want(t, origin.Unknown, map[string]string{"two versions of servers": ""})
+		c.nodes[1].Record("", 1, c.servers[0].Value)
+		c.want(t, origin.Unknown, map[string]string{"two versions of servers": "", "": ""})
 		c.beginStreams(10)
 		c.servers = c.servers[:1]
 		c.restart()
