--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -115,14 +115,45 @@
 
 // startInstances starts n instances with the command of the deploy file.
 func (w *world) startInstances(n int) {
-	ports := freePorts(3 * n)
 	for k := range n {
-		p := ports[3*k:]
-		i := &instance{
-			name: fmt.Sprintf("front-%d", k+1), callers: fmt.Sprintf("127.0.0.1:%d", p[0]), readiness: fmt.Sprintf("127.0.0.1:%d", p[1]),
+		i := &instance{name: fmt.Sprintf("front-%d", k+1)}
+		w.instances = append(w.instances, i)
+		w.assignPorts(i)
+		w.startInstance(i)
+	}
+	w.await("the instances are ready", 20*time.Second, func() bool {
+		for _, i := range w.instances {
+			select {
+			case <-i.exited:
+				// Another process has taken one of its ports since they were found free.
+				raw, _ := os.ReadFile(i.log.Name())
+				w.logf("instance %s ended at its start and gets other ports: %s", i.name, lastLine(raw))
+				w.assignPorts(i)
+				w.startInstance(i)
+				return false
+			default:
+			}
+			if !w.ready(i) {
+				return false
+			}
 		}
-		i.settings = filepath.Join(w.temp, i.name+".conf")
-		settings := fmt.Sprintf(`instance = %q
+		return true
+	})
+	// The instances need a moment to hear from each other.
+	time.Sleep(3 * time.Second)
+}
+
+func lastLine(raw []byte) string {
+	lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
+	return lines[len(lines)-1]
+}
+
+// assignPorts gives an instance free ports and writes its settings.
+func (w *world) assignPorts(i *instance) {
+	p := freePorts(3)
+	i.callers, i.readiness = fmt.Sprintf("127.0.0.1:%d", p[0]), fmt.Sprintf("127.0.0.1:%d", p[1])
+	i.settings = filepath.Join(w.temp, i.name+".conf")
+	settings := fmt.Sprintf(`instance = %q
 data_centre = "zone-a"
 [listen]
 callers = %q
@@ -142,22 +173,9 @@
 [drain]
 grace_s = 8
 `, i.name, i.callers, i.readiness, p[2], w.store.address())
-		if err := os.WriteFile(i.settings, []byte(settings), 0o600); err != nil {
-			cannotRun("%v", err)
-		}
-		w.instances = append(w.instances, i)
-		w.startInstance(i)
+	if err := os.WriteFile(i.settings, []byte(settings), 0o600); err != nil {
+		cannotRun("%v", err)
 	}
-	w.await("the instances are ready", 20*time.Second, func() bool {
-		for _, i := range w.instances {
-			if !w.ready(i) {
-				return false
-			}
-		}
-		return true
-	})
-	// The instances need a moment to hear from each other.
-	time.Sleep(3 * time.Second)
 }
 
 func (w *world) startInstance(i *instance) {
