--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -23,6 +23,44 @@
 	mu         sync.Mutex
 	partitions map[string][][]byte
 	changed    chan struct{}
+	// readsPerS is the number of read calls that are answered in a second, each after readTime; zero
+	// for no limit. Calls beyond it are rejected with 429.
+	readsPerS int
+	readTime  time.Duration
+	// second is the second to which reads and rejected belong.
+	second          int64
+	reads, rejected int
+}
+
+// limitReads makes the store answer each read call after a time, and only so many in a second.
+func (s *store) limitReads(perS int, after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readsPerS, s.readTime = perS, after
+}
+
+// admitRead returns true, after readTime, if a read call is within the limit of its second, and
+// rejects it otherwise.
+func (s *store) admitRead(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	if now := time.Now().Unix(); now != s.second {
+		if s.rejected > 0 {
+			current.logf("store: of %d read calls in this second %d were rejected with 429", s.reads, s.rejected)
+		}
+		s.second, s.reads, s.rejected = now, 0, 0
+	}
+	s.reads++
+	admitted, readTime := s.readsPerS == 0 || s.reads <= s.readsPerS, s.readTime
+	if !admitted {
+		s.rejected++
+	}
+	s.mu.Unlock()
+	if !admitted {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return false
+	}
+	time.Sleep(readTime)
+	return true
 }
 
 func newStore() *store {
@@ -117,6 +155,9 @@
 }
 
 func (s *store) handleRead(w http.ResponseWriter, r *http.Request) {
+	if !s.admitRead(w) {
+		return
+	}
 	q := r.URL.Query()
 	from, _ := strconv.ParseInt(q.Get("from"), 10, 64)
 	waitMs, _ := strconv.Atoi(q.Get("waitMs"))
@@ -155,6 +196,9 @@
 }
 
 func (s *store) handleNewest(w http.ResponseWriter, r *http.Request) {
+	if !s.admitRead(w) {
+		return
+	}
 	type item struct {
 		Key    string `json:"key"`
 		Value  string `json:"value"`
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -344,6 +344,20 @@
 	}
 }
 
+// countListed returns the number of results from a position on that one call reads; zero if it gets
+// another answer than 200.
+func (w *world) countListed(i *instance, job string, after int) int {
+	r, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/lots/%s?after=%d", i.callers, job, after), nil)
+	r.Host = host
+	status, raw := w.do(r)
+	var page struct{ Results []result }
+	if status == http.StatusOK && json.Unmarshal(raw, &page) != nil {
+		cannotRun("results that are no JSON: %q", raw)
+	}
+	w.logf("client: results of job %s from %d at %s: status %d, %d results", job, after, i.name, status, len(page.Results))
+	return len(page.Results)
+}
+
 // countStates returns the numbers of results by their state.
 func countStates(results []result) map[string]int {
 	states := map[string]int{}
