jobs: give up the items of a job whose route or retention time has ended

Cause: the holder of a job passed over it while no route matched, and only responses of servers ended an item. The end of a route and the retention time were decoded and used nowhere, so that nobody was responsible for them.

Change: the holder gives up the items that are not running, as results in the log like any other. The route counts as removed 2 s after a configuration without it, and only by a configuration that is not older than the one at the acceptance, which the acceptance record now names. A route of another kind at the path of a job is not its route.

--- a/domain/joblog/record.go
+++ b/domain/joblog/record.go
@@ -32,6 +32,9 @@
 	// Route is the name of the route at the time of the acceptance. The limit on waiting
 	// tokens counts the job on it.
 	Route string `json:"route,omitempty"`
+	// Revision is the version of the configuration at the acceptance. A configuration with a
+	// lower version does not tell whether the route still exists.
+	Revision int64 `json:"revision,omitempty"`
 	// Items is the number of items.
 	Items int `json:"items"`
 	// Tokens are the sizes of the items as stated in the submission.
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -17,6 +17,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
+	"github.com/jacinthnotch/jacinthnotch/policy/abandon"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/leastslack"
 	"github.com/jacinthnotch/jacinthnotch/policy/poison"
@@ -88,8 +89,12 @@
 	mu sync.Mutex
 	// takeovers decides which jobs this instance holds or claims.
 	takeovers *takeover.Table
-	runTimes  leastslack.RunTimeEstimator
-	jobs      map[string]*jobState
+	// endings decides which items are given up, and abandoningJobs is the number of jobs of
+	// which this is being written.
+	endings        *abandon.Table
+	abandoningJobs int
+	runTimes       leastslack.RunTimeEstimator
+	jobs           map[string]*jobState
 	// contents caches the decoded items of jobs, by job.
 	contents map[string][]Item
 	// running is the number of items that are running.
@@ -107,6 +112,10 @@
 	items map[int]*itemRun
 	// held is set while this instance holds the job.
 	held bool
+	// abandoned is set while no more items of the job are started because they are given up;
+	// abandoning is set while this is being written, next at nextAbandonment.
+	abandoned, abandoning bool
+	nextAbandonment       time.Time
 }
 
 // idle reports whether no item of the job is running on this instance.
@@ -121,7 +130,7 @@
 
 // Init initializes the runner. It must be called before Run.
 func (r *Runner) Init() {
-	r.takeovers = takeover.NewTable(r.Self, time.Now())
+	r.takeovers, r.endings = takeover.NewTable(r.Self, time.Now()), abandon.NewTable()
 	r.jobs, r.contents = map[string]*jobState{}, map[string][]Item{}
 	r.wakeups = make(chan struct{}, 1)
 }
@@ -165,7 +174,7 @@
 }
 
 // schedule makes one scheduling pass: it cancels runs that are no longer needed, claims
-// jobs and starts items on free slots.
+// jobs, gives up items and starts others on free slots.
 func (r *Runner) schedule(ctx context.Context) {
 	now := time.Now()
 	alive := r.Members.Alive()
@@ -174,6 +183,12 @@
 	for _, claim := range r.update(now, jobs, alive) {
 		r.runs.Go(func() { guard.Run("claim of a job", func() { r.writeClaim(ctx, claim) }) })
 	}
+	for _, a := range r.abandonments(now) {
+		r.runs.Go(func() {
+			defer r.endAbandonment(a)
+			guard.Run("abandonment of items", func() { r.abandonItems(ctx, a) })
+		})
+	}
 	candidates, allowed := r.startable(now), min(maxStartsPerPass, maxRunningItems-r.running)
 	r.mu.Unlock()
 	full := map[string]bool{}
@@ -260,8 +275,9 @@
 				run.cancel(errNotNeeded)
 			}
 		}
-		if !held && js.idle() {
+		if !held && js.idle() && !js.abandoning {
 			delete(r.jobs, j.Job)
+			r.endings.Forget(j.Job)
 			delete(r.contents, j.Job)
 		}
 	}
@@ -299,10 +315,10 @@
 		return nil
 	}
 	for _, js := range r.jobs {
-		if !js.held {
+		if !js.held || js.abandoned {
 			continue
 		}
-		route := revision.Match(js.job.Host, js.job.Path)
+		route := abandon.BatchRoute(revision, &js.job.Accepted)
 		if route == nil {
 			continue
 		}
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -233,11 +233,19 @@
 		tokens[i] = items[i].Tokens
 	}
 	return &joblog.Accepted{
-		Tokens: tokens, At: time.Now().UnixMilli(), Job: call.Job, Host: gateway.Host(r), Path: r.URL.EscapedPath(), Items: len(items), Content: extents[0],
+		Revision: s.revisionVersion(), Tokens: tokens, At: time.Now().UnixMilli(), Job: call.Job, Host: gateway.Host(r), Path: r.URL.EscapedPath(), Items: len(items), Content: extents[0],
 		Holder: s.Self,
 	}, nil
 }
 
+// revisionVersion returns the version of the configuration in force, or zero if there is none.
+func (s *Service) revisionVersion() int64 {
+	if revision := s.Revision(); revision != nil {
+		return revision.Version
+	}
+	return 0
+}
+
 // appendIdempotent appends a record of which duplicates are ignored. It retries after an
 // unknown outcome until the record is written or ctx is done, and returns
 // port.ErrUnavailable only if no attempt can have written it.
