serving: ignore entries of servers that are older than a known one

Cause: the store may execute a write seconds after it was sent. A heartbeat that a cut of the server had held up was stored after the server's report, and the registry took the order of the store for that of the server; the sequence number was checked and dropped.

Change: the registry keeps the start time and the sequence number of the latest entry of each server, beyond its removal, and ignores older ones, whether they come from the feed, a list or a single read.

--- a/domain/serving/registry.go
+++ b/domain/serving/registry.go
@@ -27,6 +27,9 @@
 	// Started is the server's start time in Unix milliseconds as reported by the
 	// server, or zero if not reported. It distinguishes a restart under the same ID.
 	Started int64
+	// Sequence increases with each entry that the server writes, and begins anew with each
+	// start.
+	Sequence int64
 }
 
 // Usable reports whether the server accepts new requests.
@@ -38,6 +41,9 @@
 // A Registry is not safe for concurrent use.
 type Registry struct {
 	servers map[string]*Server
+	order   entryOrder
+	// Outdated counts the entries that were ignored because a later one was known.
+	Outdated int64
 	// missing maps the ID of a server without an entry to the time at which the
 	// server is dropped.
 	missing map[string]time.Time
@@ -73,7 +79,10 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{servers: map[string]*Server{}, missing: map[string]time.Time{}, departures: map[string]Departure{}}
+	return &Registry{
+		servers: map[string]*Server{}, order: entryOrder{latest: map[string]*entryPosition{}},
+		missing: map[string]time.Time{}, departures: map[string]Departure{},
+	}
 }
 
 // StoreUnavailable records that the store cannot be read.
@@ -91,21 +100,32 @@
 	}
 }
 
-// Put adds or replaces an entry. It returns false if the entry is unchanged, as for a
-// heartbeat.
+// Put adds or replaces an entry, unless a later one of the server is known. It returns false
+// if nothing but the sequence number has changed, as for a heartbeat.
 func (r *Registry) Put(s *Server) bool {
+	if !r.order.accept(s) {
+		r.Outdated++
+		return false
+	}
 	old := r.servers[s.ID]
 	delete(r.missing, s.ID)
 	if d, ok := r.departures[s.ID]; ok && !d.refersTo(s.Started) {
 		delete(r.departures, s.ID)
 	}
 	r.servers[s.ID] = s
-	return old == nil || *old != *s
+	return old == nil || !old.equalsBesidesSequence(s)
+}
+
+func (s *Server) equalsBesidesSequence(other *Server) bool {
+	same := *other
+	same.Sequence = s.Sequence
+	return *s == same
 }
 
 // Remove records that an entry was removed from the store. It reports whether the
 // server was dropped immediately rather than kept for the grace period.
 func (r *Registry) Remove(now time.Time, id string) bool {
+	r.order.remove(id)
 	s := r.servers[id]
 	if s == nil {
 		return false
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -123,10 +123,14 @@
 	for _, e := range entries {
 		if e.Value != nil {
 			listed[e.Key] = true
+			outdated := v.registry.Outdated
 			if v.registry.Put(e.Value) {
 				changed = true
 				klog.InfoS("server entry", "server", e.Key, "service", e.Value.Service, "address", e.Value.Address, "serverVersion", e.Value.Version, "leaving", e.Value.Leaving, "started", e.Value.Started)
 			}
+			if v.registry.Outdated > outdated {
+				klog.InfoS("server entry ignored", "server", e.Key, "leaving", e.Value.Leaving, "started", e.Value.Started, "sequence", e.Value.Sequence, "cause", "older than another one")
+			}
 			continue
 		}
 		if v.registry.Remove(now, e.Key) {
