jobs, gateway: bound the memory of outputs and buffered responses together

An instance reached 1,693 MB (limit 164) while a server sent whole events without end, and items of open jobs stayed unlisted; requests of all callers would have ended with the process.

Cause: the output of an unfinished item had no bound, and buffered responses had one of 1 MB each, however many there were at once.

Change: an output ends at what a response to a caller can hold, and at as many events as the item has tokens; the server then counts as failing and the item begins anew. All outputs, and all buffered responses, share a budget of 6% of the memory limit each, in which every one of them keeps a small share. A response that does not fit is forwarded as it arrives.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -113,7 +113,9 @@
 	// errorResponse is the latest error response of a server. It is forwarded if no
 	// attempt succeeds.
 	errorResponse *bufferedResponse
-	lastErr       error
+	// buffered is the size of the responses that count in the gateway's budget, in bytes.
+	buffered int
+	lastErr  error
 }
 
 // progress is how far the response to one attempt has come.
@@ -158,6 +160,7 @@
 // run makes attempts until the caller has a final response.
 func (c *call) run() {
 	c.service = ChooseService(c.route)
+	defer c.releaseBuffers()
 	ctx, cancel := withOptionalDeadline(c.incoming.Context(), c.deadline)
 	defer cancel()
 	c.limitWrites()
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -37,11 +37,11 @@
 // response can thus be retried, and a server's error response is kept in case no other
 // server has a better one.
 func (c *call) forward(ctx context.Context, lease *fleet.Lease, response *exchange.Response, start time.Time) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes+1))
+	body, complete, err := c.readBuffered(response)
 	if err != nil {
 		return c.recordBrokenAttempt(ctx, lease, start, fmt.Errorf("reading response with status %d: %w", response.Status, err))
 	}
-	if len(body) > maxBufferedResponseBytes {
+	if !complete {
 		return c.forwardUnbuffered(lease, response, body)
 	}
 	result := &bufferedResponse{response.Status, response.Header, body}
@@ -68,6 +68,31 @@
 	return delivered
 }
 
+// readBuffered reads a response to its end, or as much of it as may be buffered. The memory
+// counts until the call ends, since an error response may be kept until then.
+func (c *call) readBuffered(response io.Reader) (body []byte, complete bool, err error) {
+	var chunk [readChunkBytes]byte
+	for {
+		n, err := response.Read(chunk[:])
+		body = append(body, chunk[:n]...)
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return body, false, err
+		case len(body) > maxBufferedResponseBytes || !c.gateway.Buffers.Resize(c.buffered, c.buffered+n):
+			return body, false, nil
+		}
+		c.buffered += n
+	}
+}
+
+// releaseBuffers releases the memory of all responses that the call has buffered.
+func (c *call) releaseBuffers() {
+	c.gateway.Buffers.Resize(c.buffered, 0)
+	c.buffered = 0
+}
+
 // forwardUnbuffered forwards a response that is too large to be buffered, beginning with
 // the prefix that was already read.
 func (c *call) forwardUnbuffered(lease *fleet.Lease, response *exchange.Response, prefix []byte) attemptResult {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/budget"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 	"github.com/jacinthnotch/jacinthnotch/policy/poison"
@@ -84,6 +85,10 @@
 	Containment Containment
 	Origins     Origins
 	Metrics     *Metrics
+	// Buffers limits the memory of the responses that are received in full before they are
+	// forwarded. A response that does not fit is forwarded as it arrives, so that it cannot be
+	// retried.
+	Buffers *budget.Budget
 	// Timeouts replaces the default timeouts in tests.
 	Timeouts Timeouts
 	queues   queues
--- a/node/jobs/resume.go
+++ b/node/jobs/resume.go
@@ -74,9 +74,9 @@
 }
 
 // restart drops the output of an item, and that which another instance saved.
-func (run *itemRun) restart(progress *joblog.Progress) {
-	run.output, run.hasOutput, run.lastEvent, run.spent, run.origin = nil, false, 0, 0, joblog.Origin{}
-	run.versionWaitSince = time.Time{}
+func (r *Runner) restart(run *itemRun, progress *joblog.Progress) {
+	r.dropOutput(run)
+	run.origin, run.versionWaitSince = joblog.Origin{}, time.Time{}
 	if progress != nil {
 		run.dropsProgress, run.droppedUpTo = true, progress.LastEvent
 	}
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -68,8 +68,9 @@
 	spent     time.Duration
 	fromStart bool
 	// output is the output so far, up to and including lastEvent. hasOutput is set once
-	// there was an event.
+	// there was an event. reserved is the part of the output budget that the output uses.
 	output    []byte
+	reserved  int
 	lastEvent int64
 	hasOutput bool
 	// origin is where the output began. The item has waited for a slot at that version since
@@ -116,8 +117,7 @@
 	if js := r.jobs[run.job]; js != nil && outcome.result != nil {
 		// The result may not have been read back from the index yet.
 		run.notBefore = time.Now().Add(time.Second)
-		run.output = nil
-		run.hasOutput, run.lastEvent, run.spent = false, 0, 0
+		r.dropOutput(run)
 	}
 	r.mu.Unlock()
 	r.wake()
@@ -150,7 +150,7 @@
 	}
 	if !r.canGoOn(ctx, run, lease) {
 		klog.InfoS("output of an item dropped", "job", run.job, "item", run.index, "serverVersion", run.origin.Version, "next", lease.Server.Version)
-		run.restart(progress)
+		r.restart(run, progress)
 	}
 	if !lease.Usable() {
 		// The server announced that it is leaving while the item was read.
@@ -186,7 +186,7 @@
 		r.logRun(item, run, lease, "refused by the server", nil)
 		return runOutcome{retryDelay: refusedRetryDelay}
 	case response.Status == http.StatusOK && parsed.Signed:
-		return r.readOutput(sendCtx, run, item, lease, response, eventTimer, eventTimeout)
+		return r.readOutput(sendCtx, run, item, progress, lease, response, eventTimer, eventTimeout)
 	}
 	return r.handleFailure(run, item, accepted, route, lease, response)
 }
@@ -214,11 +214,19 @@
 	if !run.usesProgress(progress) {
 		return nil
 	}
+	if joblog.TotalBytes(progress.Output) > maxOutputBytes {
+		r.restart(run, progress)
+		return nil
+	}
 	output, err := r.Blobs.Read(ctx, progress.Output)
 	if err != nil {
 		return err
 	}
-	run.output, run.lastEvent, run.hasOutput, run.origin = append([]byte(nil), output...), progress.LastEvent, true, progress.Origin
+	r.dropOutput(run)
+	if err := r.appendOutput(run, output); err != nil {
+		return err
+	}
+	run.lastEvent, run.origin = progress.LastEvent, progress.Origin
 	return nil
 }
 
@@ -282,7 +290,7 @@
 }
 
 // readOutput reads the events of the item's output.
-func (r *Runner) readOutput(ctx context.Context, run *itemRun, item *Item, lease *fleet.Lease, response *exchange.Response, eventTimer *time.Timer, eventTimeout time.Duration) runOutcome {
+func (r *Runner) readOutput(ctx context.Context, run *itemRun, item *Item, progress *joblog.Progress, lease *fleet.Lease, response *exchange.Response, eventTimer *time.Timer, eventTimeout time.Duration) runOutcome {
 	events, lastReceived, count := gateway.NewEventReader(response), time.Now(), 0
 	for {
 		event, err := events.Next()
@@ -309,19 +317,36 @@
 		lastReceived = now
 		count++
 		run.timeouts, run.breaks, run.versionWaitSince = 0, 0, time.Time{}
-		if run.hasOutput {
-			run.output = append(run.output, '\n')
-		} else {
+		if !run.hasOutput {
 			run.origin = originOf(lease, run.startedAt)
 		}
-		run.output = append(run.output, event.Data()...)
-		run.hasOutput = true
+		err = r.appendOutput(run, event.Data())
+		if item.Tokens > 0 && int64(count) > item.Tokens {
+			err = errOutputTooLong
+		}
+		if err != nil {
+			return r.handleExcessOutput(run, item, progress, lease, err)
+		}
 		if event.HasID {
 			run.lastEvent = event.ID
 		}
 	}
 }
 
+// handleExcessOutput handles a run whose output is not kept: that of a server that sends events
+// without end, or one that does not fit into the memory.
+func (r *Runner) handleExcessOutput(run *itemRun, item *Item, progress *joblog.Progress, lease *fleet.Lease, err error) runOutcome {
+	r.Metrics.count("dropped_output")
+	r.logRun(item, run, lease, "output dropped", err)
+	r.restart(run, progress)
+	if errors.Is(err, errOutputBudget) {
+		lease.End(balance.Abandoned)
+	} else {
+		lease.End(balance.Unreachable)
+	}
+	return runOutcome{retryDelay: run.interrupted(nil)}
+}
+
 // recordAnswer records that the parts of an item's prompt crash no server.
 func (r *Runner) recordAnswer(item *Item) {
 	h := http.Header{}
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/budget"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
 	"github.com/jacinthnotch/jacinthnotch/policy/abandon"
@@ -85,8 +86,12 @@
 	Origins Origins
 	// Self identifies this instance.
 	Self joblog.Holder
+	// OutputBudget limits the memory of the outputs of unfinished items, in bytes; zero means
+	// a default limit.
+	OutputBudget int
 
-	mu sync.Mutex
+	outputs *budget.Budget
+	mu      sync.Mutex
 	// takeovers decides which jobs this instance holds or claims.
 	takeovers *takeover.Table
 	// endings decides which items are given up, and abandoningJobs is the number of jobs of
@@ -133,6 +138,7 @@
 	r.takeovers, r.endings = takeover.NewTable(r.Self, time.Now()), abandon.NewTable()
 	r.jobs, r.contents = map[string]*jobState{}, map[string][]Item{}
 	r.wakeups = make(chan struct{}, 1)
+	r.outputs = newOutputBudget(cmp.Or(r.OutputBudget, defaultOutputBudget))
 }
 
 // wake requests a scheduling pass.
@@ -276,6 +282,7 @@
 			}
 		}
 		if !held && js.idle() && !js.abandoning {
+			r.dropOutputs(js)
 			delete(r.jobs, j.Job)
 			r.endings.Forget(j.Job)
 			delete(r.contents, j.Job)
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -25,6 +25,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/budget"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
 	"github.com/jacinthnotch/jacinthnotch/node/jobs"
@@ -43,6 +44,12 @@
 	goMemoryShare = 0.6
 	// blobCacheMemoryShare is the share of the host's memory for the cache of job blobs.
 	blobCacheMemoryShare = 0.08
+	// outputMemoryShare is the share of the host's memory for the outputs of unfinished items.
+	outputMemoryShare = 0.06
+	// responseMemoryShare is the share of the host's memory for the responses that are received
+	// in full before they are forwarded. Each may take responseBufferBytes in any case.
+	responseMemoryShare = 0.06
+	responseBufferBytes = 64 << 10
 	// expiryInterval is the interval at which expired servers and connections are removed.
 	expiryInterval = 500 * time.Millisecond
 	// announceWait is how long the store may delay a read of the instances' entries until
@@ -145,9 +152,11 @@
 	i.runner = &jobs.Runner{
 		Index: i.index, Blobs: blobStore, View: i.view, Pool: i.pool, Protocol: p.Protocol, Codec: p.Protocol,
 		Members: group, Placer: group, Metrics: i.jobMetrics, Answers: group, Origins: i.origins, Self: self,
+		OutputBudget: int(outputMemoryShare * float64(s.Limits.MemoryMB<<20)),
 	}
 	i.runner.Init()
 	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Containment: group, Origins: i.origins, Metrics: gateway.NewMetrics()}
+	i.gateway.Buffers = budget.New(int(responseMemoryShare*float64(s.Limits.MemoryMB<<20)), responseBufferBytes)
 	i.gateway.Jobs = &jobs.Service{
 		Index: i.index, Blobs: blobStore, Runner: i.runner, Codec: p.Protocol, Revision: i.view.Revision, StorePath: i.store,
 		Refuse: i.refuse, Self: self,
