gateway: do not append a long error response to a stream that broke

Cause: a response that is too long to be buffered was forwarded before the check that only an event stream can go on with a stream.

Change: such a response ends the attempt, and the caller's connection breaks.

Evidence: TestLargeErrorResponseToAResumedStream got 2,097,168 bytes without an error before the change.

--- a/node/gateway/buffer_test.go
+++ b/node/gateway/buffer_test.go
@@ -62,3 +62,20 @@
 		t.Errorf("%d bytes still count after all calls", used)
 	}
 }
+
+// Guards against a large error response that is appended to the events of a stream which broke
+// at another server.
+func TestLargeErrorResponseToAResumedStream(t *testing.T) {
+	route := serving.Route{Kind: serving.Stream, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, GapObjective: 100 * time.Millisecond}
+	f := newFleet(t, 2, route, func(c net.Conn, _ *http.Request, n int) {
+		if n == 0 {
+			fmt.Fprintf(c, streamHead, "s")
+			_, _ = io.WriteString(c, chunk(event(1)))
+			return
+		}
+		_, _ = io.WriteString(c, fullResponse(http.StatusNotFound, strings.Repeat("x", 2*maxBufferedResponseBytes), "Signature", "s"))
+	})
+	if _, body, err := f.send(t, "Patience", "3000"); err == nil || body != event(1) {
+		t.Fatalf("%d bytes, error %v; want the event and a broken connection", len(body), err)
+	}
+}
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -41,6 +41,10 @@
 	if err != nil {
 		return c.recordBrokenAttempt(ctx, lease, start, fmt.Errorf("reading response with status %d: %w", response.Status, err))
 	}
+	if !complete && c.headerWritten {
+		lease.End(balance.Failed)
+		return c.recordPossibleRun(lease, fmt.Errorf("long response with status %d for a resumed stream", response.Status))
+	}
 	if !complete {
 		return c.forwardUnbuffered(lease, response, body)
 	}
