jobs: allow more events than an item states tokens

Cause: the limit on the number of events took the stated size for exact, and callers may state too little.

Change: 1,000 events more are allowed. The limit on bytes is unchanged; the limit on events ends outputs of many short events sooner.

Evidence: TestEndToEnd passes again, as does TestServerThatSendsEventsWithoutEnd.

--- a/node/jobs/output.go
+++ b/node/jobs/output.go
@@ -10,6 +10,9 @@
 	// maxOutputBytes is the maximum size of the output of an item, in bytes. A longer one fits
 	// into no response to a caller.
 	maxOutputBytes = maxResultBytes
+	// maxExtraEvents is the number of events that an output may have beyond the tokens of its
+	// item, because callers may state too few tokens.
+	maxExtraEvents = 1000
 	// defaultOutputBudget is the size of the output budget of a Runner that has none.
 	defaultOutputBudget = 16 << 20
 )
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -321,7 +321,7 @@
 			run.origin = originOf(lease, run.startedAt)
 		}
 		err = r.appendOutput(run, event.Data())
-		if item.Tokens > 0 && int64(count) > item.Tokens {
+		if item.Tokens > 0 && int64(count) > item.Tokens+maxExtraEvents {
 			err = errOutputTooLong
 		}
 		if err != nil {
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -53,10 +53,18 @@
 	// Refuse writes an error response. A retryAfter above zero tells the caller when to
 	// retry.
 	Refuse func(w http.ResponseWriter, status int, retryAfter time.Duration, cause string)
+	// Closed reports whether the instance is about to stop and accepts no more connections; nil
+	// if it never does.
+	Closed func() bool
 	// Self identifies this instance.
 	Self joblog.Holder
 }
 
+// causeClosed is the cause of the refusal of a call that could be cut off.
+const causeClosed = "the instance is about to stop"
+
+func (s *Service) isClosed() bool { return s.Closed != nil && s.Closed() }
+
 // StorePath provides the reachability of the store from an instance.
 type StorePath interface {
 	// Reachability returns the reachability of the store as far as the instance knows.
@@ -72,9 +80,15 @@
 	if !ok {
 		return false
 	}
-	switch call.Kind {
-	case Submit:
+	switch {
+	case call.Kind == Submit:
 		s.handleSubmit(w, r, call, route)
+		return true
+	case s.isClosed():
+		s.refuse(w, call, http.StatusServiceUnavailable, causeClosed, nil)
+		return true
+	}
+	switch call.Kind {
 	case ReadResults:
 		s.handleReadResults(w, r, call)
 	case ReadItem:
@@ -160,6 +174,10 @@
 		s.refuse(w, call, http.StatusBadRequest, "not a submission", err)
 		return
 	}
+	if s.isClosed() {
+		s.refuse(w, call, http.StatusServiceUnavailable, causeClosed, nil)
+		return
+	}
 	if reachability := s.StorePath.Reachability(); reachability == pathselect.Unreachable || reachability == pathselect.Isolated || s.Index.storeHealth.unavailable(start) {
 		s.refuse(w, call, http.StatusServiceUnavailable, "the store is away, outlook "+reachability.String(), nil)
 		return
