gateway: accept no request during a drain that cannot end before it

Callers whose requests were complete late in the grace period got no answer: the requests were passed on and cut off when the process ended, among them requests that may run once (LOST).

Cause: the drain closed idle connections, but requests that were read from the remaining ones were handled as at any other time.

Calls about jobs are refused once no more connections are accepted.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -163,6 +163,7 @@
 	defer c.releaseBuffers()
 	ctx, cancel := withOptionalDeadline(c.incoming.Context(), c.deadline)
 	defer cancel()
+	defer c.gateway.Drain.cancelAtEnd(cancel)()
 	c.limitWrites()
 	if c.resumable() && c.request.IsResume && !c.bindToOrigin(ctx) {
 		return
@@ -177,6 +178,10 @@
 			c.fail(causeBlocked)
 			return
 		}
+		if c.runCount == 0 && !c.gateway.Drain.admits(time.Now(), c.deadline, c.gateway.View.MeanRunTime(c.service)) {
+			c.fail(causeDraining)
+			return
+		}
 		lease, reason := c.acquireServer()
 		if reason != "" {
 			c.fail(reason)
@@ -191,6 +196,9 @@
 			c.gateway.Metrics.count("caller_left")
 			c.log("abandoned", 0, errCallerDisconnected)
 			panic(http.ErrAbortHandler)
+		case c.gateway.Drain.over():
+			c.fail(causeDraining)
+			return
 		case ctx.Err() != nil:
 			c.fail("the time limit is reached")
 			return
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -89,6 +89,8 @@
 	// forwarded. A response that does not fit is forwarded as it arrives, so that it cannot be
 	// retried.
 	Buffers *budget.Budget
+	// Drain is the end of the instance's work; nil if it has none.
+	Drain *Drain
 	// Timeouts replaces the default timeouts in tests.
 	Timeouts Timeouts
 	queues   queues
--- a/node/serve/callers.go
+++ b/node/serve/callers.go
@@ -82,12 +82,16 @@
 // still accepted.
 func (s *callerServer) Leave() { s.leaving.Store(true) }
 
-// Drain accepts the connections that wait, closes the listener and waits until all requests
-// that were read, also in part, have their responses, at most until ctx is done. It then
-// closes the connections without a request.
-func (s *callerServer) Drain(ctx context.Context) error {
+// CloseListener accepts the connections that wait and closes the listener.
+func (s *callerServer) CloseListener() {
 	s.Leave()
 	s.listener.acceptRest()
+}
+
+// Drain closes the listener and waits until all requests that were read, also in part, have
+// their responses, at most until ctx is done. It then closes the connections without a request.
+func (s *callerServer) Drain(ctx context.Context) error {
+	s.CloseListener()
 	for s.listener.closeQuiet(time.Now()) > 0 {
 		if ctx.Err() != nil {
 			return ctx.Err()
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -155,11 +155,11 @@
 		OutputBudget: int(outputMemoryShare * float64(s.Limits.MemoryMB<<20)),
 	}
 	i.runner.Init()
-	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Containment: group, Origins: i.origins, Metrics: gateway.NewMetrics()}
+	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Containment: group, Origins: i.origins, Metrics: gateway.NewMetrics(), Drain: gateway.NewDrain()}
 	i.gateway.Buffers = budget.New(int(responseMemoryShare*float64(s.Limits.MemoryMB<<20)), responseBufferBytes)
 	i.gateway.Jobs = &jobs.Service{
 		Index: i.index, Blobs: blobStore, Runner: i.runner, Codec: p.Protocol, Revision: i.view.Revision, StorePath: i.store,
-		Refuse: i.refuse, Self: self,
+		Refuse: i.refuse, Closed: i.gateway.Drain.Closed, Self: self,
 	}
 	i.callers = newCallerServer(i.gateway, gateway.WithConn)
 	i.readiness = &http.Server{Handler: i.readinessHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -339,14 +339,18 @@
 func (i *Instance) drain() {
 	start := time.Now()
 	klog.InfoS("drain begins", "instance", i.settings.Instance)
+	end := start.Add(i.settings.GracePeriod() - exitMargin)
 	i.leaving.Store(true)
+	i.gateway.Drain.Begin(end)
 	i.callers.Leave()
 	i.group.Leave()
 	handoverCtx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	i.runner.Drain(handoverCtx)
 	cancel()
 	time.Sleep(time.Until(start.Add(loadBalancerDelay)))
-	shutdownCtx, cancel := context.WithDeadline(context.Background(), start.Add(i.settings.GracePeriod()-exitMargin))
+	i.callers.CloseListener()
+	i.gateway.Drain.Close()
+	shutdownCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := i.callers.Drain(shutdownCtx); err != nil {
 		klog.InfoS("drain interrupted requests in flight", "err", err)
