origins: take the only version only after reading the servers' entries

Cause: without a record of the stream the instance took the one version that it knew of. It ignored that the entries of the servers could not be read, and a hub that was cut off or had stood still took itself for one that had been told of all streams.

--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -6,6 +6,7 @@
 package fleet
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -30,6 +31,8 @@
 	// departureReportTime is the time for which an instance reports that a server states that it
 	// is leaving.
 	departureReportTime = 2 * time.Second
+	// versionMemory is the time for which versions without a server are remembered.
+	versionMemory = 10 * time.Minute
 	// hubTotalName is the peer name in the table for the load of all other instances that
 	// a hub reports. No instance has this name.
 	hubTotalName = ""
@@ -47,7 +50,9 @@
 
 	mu       sync.Mutex
 	registry *serving.Registry
-	table    *balance.Table
+	// servers holds the registered servers as passed to the table.
+	servers map[string]*serving.Server
+	table   *balance.Table
 	// runTimes holds the moving average of the run time of online requests, by service.
 	runTimes map[string]time.Duration
 	// onLoadChange is called after each change of the requests in flight.
@@ -55,14 +60,20 @@
 	// configReadAt and serversReadAt are the times of the last successful reads of the
 	// configuration and of the servers.
 	configReadAt, serversReadAt time.Time
+	// versions holds when a version of a service was last registered, or last among the
+	// servers, for RecentVersions.
+	versions map[serviceVersion]time.Time
 	// ownDepartures holds the statements of servers that they are leaving, to this instance,
 	// until they have been reported for departureReportTime.
 	ownDepartures []serving.Departure
 }
 
+// serviceVersion is a version of the software of a service.
+type serviceVersion struct{ service, version string }
+
 // NewView returns an empty view.
 func NewView(random *rand.Rand) *View {
-	return &View{ready: make(chan struct{}), registry: serving.NewRegistry(), table: balance.NewTable(random), runTimes: map[string]time.Duration{}}
+	return &View{ready: make(chan struct{}), registry: serving.NewRegistry(), table: balance.NewTable(random), runTimes: map[string]time.Duration{}, versions: map[serviceVersion]time.Time{}}
 }
 
 // Revision returns the configuration in force, or nil if none has been read yet.
@@ -126,6 +137,7 @@
 			outdated := v.registry.Outdated
 			if v.registry.Put(e.Value) {
 				changed = true
+				v.versions[serviceVersion{e.Value.Service, e.Value.Version}] = now
 				klog.InfoS("server entry", "server", e.Key, "service", e.Value.Service, "address", e.Value.Address, "serverVersion", e.Value.Version, "leaving", e.Value.Leaving, "started", e.Value.Started)
 			}
 			if v.registry.Outdated > outdated {
@@ -349,6 +361,22 @@
 	return v.table.Versions(service)
 }
 
+// RecentVersions returns the versions of the registered servers of a service, and of those that
+// were registered within a time.
+func (v *View) RecentVersions(service string, within time.Duration) []string {
+	now := time.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	versions := v.table.Versions(service)
+	for known, at := range v.versions {
+		if known.service == service && now.Sub(at) <= within {
+			versions = append(versions, known.version)
+		}
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
 // HasEligible reports whether there is a server to which a request may go, however loaded.
 func (v *View) HasEligible(q balance.Query) bool {
 	v.mu.Lock()
@@ -537,7 +565,16 @@
 
 // setServers passes the registered servers to the table. The lock must be held.
 func (v *View) setServers() {
-	v.table.SetServers(v.registry.Servers())
+	now := time.Now()
+	next := v.registry.Servers()
+	for id, s := range v.servers {
+		if n := next[id]; n == nil || n.Service != s.Service || n.Version != s.Version {
+			v.versions[serviceVersion{s.Service, s.Version}] = now
+		}
+	}
+	maps.DeleteFunc(v.versions, func(_ serviceVersion, at time.Time) bool { return now.Sub(at) > versionMemory })
+	v.servers = next
+	v.table.SetServers(next)
 	v.serversVersion.Add(1)
 }
 
--- a/node/origins/origins_test.go
+++ b/node/origins/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -32,13 +33,29 @@
 	cluster  *cluster
 	hubSince time.Time
 	kill     func()
+	// cutOff keeps the instance from the store and from all other instances.
+	cutOff atomic.Bool
 }
 
 func (n *testNode) ActsAsFirstHub() bool {
 	return n == n.cluster.nodes[0] || n.cluster.hubUnreachable.Load()
 }
-func (n *testNode) HubSince() time.Time        { return n.hubSince }
-func (n *testNode) SendOrigins(payload []byte) { _ = n.cluster.nodes[0].ReceiveOrigins(payload) }
+func (n *testNode) HubSince() time.Time { return n.hubSince }
+func (n *testNode) SendOrigins(payload []byte) {
+	if hub := n.cluster.nodes[0]; !hub.cutOff.Load() && !n.cutOff.Load() {
+		_ = hub.ReceiveOrigins(payload)
+	}
+}
+
+// readServers reads the entries of the servers.
+func (n *testNode) readServers(context.Context) error {
+	if n.cutOff.Load() {
+		return errors.New("cut off")
+	}
+	n.View.ApplyServers(n.cluster.servers, true)
+	return nil
+}
+
 func (n *testNode) AskOrigin(ctx context.Context, service string, id uint64) (origin.Origin, origin.Status, bool) {
 	o, status := n.cluster.nodes[0].ResolveHere(ctx, service, id)
 	return o, status, ctx.Err() == nil
@@ -51,7 +68,7 @@
 	for range 3 {
 		n := &testNode{Index: NewIndex(), cluster: c}
 		n.Store, n.View, n.Hubs = &c.store, fleet.NewView(rand.New(rand.NewPCG(1, 2))), n
-		n.RefreshServers = func(context.Context) error { n.View.ApplyServers(c.servers, true); return nil }
+		n.RefreshServers = n.readServers
 		_ = n.RefreshServers(context.Background())
 		c.nodes = append(c.nodes, n)
 	}
@@ -181,3 +198,44 @@
 		c.want(t, origin.Unknown, map[string]string{"after": ""})
 	})
 }
+
+// Guards against a stream that goes on at another version at an instance which was out of step
+// while servers of that version joined, for as long as all servers that it knows have one version.
+func TestInstanceOutOfStepDoesNotGuess(t *testing.T) {
+	for name, c := range map[string]struct {
+		// storeDown keeps the instance from the records and cutOff from the servers as well.
+		storeDown, cutOff bool
+		// left is set if the new version has left before the instance reads the servers.
+		left bool
+		want origin.Status
+	}{
+		"cut off from all":                    {true, true, false, origin.Unreadable},
+		"cut off from the servers' entries":   {false, true, false, origin.Unreadable},
+		"records not readable":                {true, false, false, origin.Unknown},
+		"new version has come and gone again": {true, false, true, origin.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, cluster *cluster) {
+				both := cluster.servers
+				cluster.servers = both[:1]
+				cluster.restart()
+				time.Sleep(memoryTime) // the hub counts as one that was told of all streams
+				hub := cluster.nodes[0]
+				hub.cutOff.Store(true)
+				cluster.servers = both
+				cluster.nodes[1].Record("stream", 1, both[1].Value)
+				time.Sleep(2 * repeatDelay)
+				cluster.store.SetDown(c.storeDown)
+				hub.cutOff.Store(c.cutOff)
+				if c.left {
+					gone := port.Entry[serving.Server]{Key: both[1].Key}
+					hub.View.ApplyServers([]port.Entry[serving.Server]{both[1], gone}, false)
+					cluster.servers = both[:1]
+				}
+				if o, got := hub.Resolve(context.Background(), "svc", "stream"); got != c.want || o.Version != "" {
+					t.Errorf("the stream began at %q (status %d), want status %d", o.Version, got, c.want)
+				}
+			})
+		})
+	}
+}
--- a/node/origins/resolve.go
+++ b/node/origins/resolve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -50,10 +51,7 @@
 		klog.InfoS("origins of streams not readable", "err", err)
 		return origin.Origin{}, origin.Unreadable
 	}
-	if version, ok := x.onlyVersion(ctx, service); ok {
-		return origin.Origin{Service: service, Version: version}, origin.Known
-	}
-	return origin.Origin{}, origin.Unknown
+	return x.onlyVersion(ctx, service)
 }
 
 // knowsAllStreams reports whether this instance was told of all streams that callers may
@@ -69,23 +67,24 @@
 	return x.table.Find(id)
 }
 
-// onlyVersion returns the version of a service, if neither its servers nor the recent streams
-// have more than one.
-func (x *Index) onlyVersion(ctx context.Context, service string) (string, bool) {
-	_ = x.RefreshServers(ctx) // without it, the entries that were read last count
-	versions := x.View.Versions(service)
+// onlyVersion returns the version of a service if no other one was among its servers, or among
+// the streams, for as long as callers may take streams up. It reads the entries of the servers:
+// this instance may have been out of step while servers of another version joined.
+func (x *Index) onlyVersion(ctx context.Context, service string) (origin.Origin, origin.Status) {
+	if err := x.RefreshServers(ctx); err != nil {
+		klog.InfoS("versions of servers not readable", "service", service, "err", err)
+		return origin.Origin{}, origin.Unreadable
+	}
+	versions := x.View.RecentVersions(service, origin.Retention)
 	x.mu.Lock()
 	versions = append(versions, x.table.Versions(time.Now(), service)...)
 	x.mu.Unlock()
-	if len(versions) == 0 {
-		return "", false
-	}
-	for _, v := range versions[1:] {
-		if v != versions[0] {
-			return "", false
-		}
+	slices.Sort(versions)
+	versions = slices.Compact(versions)
+	if len(versions) != 1 {
+		return origin.Origin{}, origin.Unknown
 	}
-	return versions[0], true
+	return origin.Origin{Service: service, Version: versions[0]}, origin.Known
 }
 
 // confirmed returns the origin of a record unless Confirm contradicts it.
--- a/node/peers/origins.go
+++ b/node/peers/origins.go
@@ -47,16 +47,27 @@
 	return hub == nil
 }
 
-// HubSince returns since when other instances report to this one; zero if they do not.
+// HubSince returns since when other instances report to this one without a pause; zero if they
+// do not.
 func (g *Group) HubSince() time.Time {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordPause(now)
 	if !g.hub.active {
 		return time.Time{}
 	}
 	return g.hub.since
 }
 
+// recordPause records that this instance stood still, as when its host was suspended: as a hub it
+// begins anew, because reports to it may have been lost. The lock must be held.
+func (g *Group) recordPause(now time.Time) {
+	if g.hub.active && !g.livenessCheckedAt.IsZero() && now.Sub(g.livenessCheckedAt) > maxPause {
+		g.hub.since = now
+	}
+}
+
 // SendOrigins sends records of origins to the hubs.
 func (g *Group) SendOrigins(records []byte) {
 	g.sendToHubs(kindOrigins, &originReport{Name: g.opt.Name, Records: records})
--- a/node/peers/report.go
+++ b/node/peers/report.go
@@ -27,6 +27,8 @@
 	maxLoggedPeers = 5
 	// livenessInterval is the interval at which peers are checked for being lost.
 	livenessInterval = 250 * time.Millisecond
+	// maxPause is the time without a check of the peers after which this instance stood still.
+	maxPause = time.Second
 )
 
 // reportVersion identifies what a load report says.
@@ -63,6 +65,7 @@
 		g.stateVersion++
 	}
 	if now.Sub(g.livenessCheckedAt) >= livenessInterval {
+		g.recordPause(now)
 		g.livenessCheckedAt = now
 		g.updateLiveness(now)
 		g.preemptions.expire(now)
