jobs, exchange: refuse items that cannot be sent as exactly one request

A submission with CR LF in the path of an item made a server run a second request under an id that nobody sent (UNASKED).

Cause: paths and headers of items come from JSON and were written into requests unchecked.

Change: such a submission gets 400 with the position of the item and the reason, and nothing of it is accepted. The encoder of requests refuses what would not be one request, whatever a record holds, and takes no headers of framing or of a connection from its caller.

--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -1,13 +1,11 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 )
 
@@ -34,7 +32,8 @@
 	Method string
 	// Target is the request target, the path with the query, as sent by the caller.
 	Target, Host string
-	// Header is sent unchanged; Host and Content-Length are added.
+	// Header is sent without the headers for which IsOwnHeader is true; Host and Content-Length
+	// are added.
 	Header http.Header
 	Body   []byte
 	// ID is the request ID that the server is expected to echo.
@@ -75,6 +74,10 @@
 // response. The connection is closed when ctx is done. Errors wrap ErrNotSent or
 // ErrIncomplete.
 func (p *Pool) Do(ctx context.Context, address string, r *Request, parseHeaders HeaderParser) (*Response, error) {
+	head, err := encodeHead(r)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	maxIdleTime := r.MaxIdleTime
 	if maxIdleTime <= 0 {
 		maxIdleTime = p.options.MaxIdleTime
@@ -87,7 +90,7 @@
 		_ = c.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
-	response, err := p.roundTrip(ctx, c, r, parseHeaders)
+	response, err := p.roundTrip(ctx, c, r, head, parseHeaders)
 	if err != nil {
 		_ = c.Close()
 		if ctx.Err() != nil {
@@ -98,12 +101,12 @@
 	return response, nil
 }
 
-func (p *Pool) roundTrip(ctx context.Context, c *conn, r *Request, parseHeaders HeaderParser) (*Response, error) {
+func (p *Pool) roundTrip(ctx context.Context, c *conn, r *Request, head []byte, parseHeaders HeaderParser) (*Response, error) {
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
 	reused := c.used
 	c.used = true
 	c.carried.add(r.ID)
-	bodyWritten, err := send(c, r)
+	bodyWritten, err := send(c, head, r.Body)
 	if err != nil {
 		stopCancel()
 		return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
@@ -143,26 +146,16 @@
 
 // send writes the request. A long body is written concurrently; the returned channel is
 // then not nil and yields the outcome of the write.
-func send(c *conn, r *Request) (<-chan error, error) {
-	var head bytes.Buffer
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	if err := r.Header.Write(&head); err != nil {
-		return nil, err
-	}
-	head.WriteString("\r\n")
-	if len(r.Body) < concurrentBodyBytes {
-		head.Write(r.Body)
-		_, err := c.Write(head.Bytes())
+func send(c *conn, head, body []byte) (<-chan error, error) {
+	if len(body) < concurrentBodyBytes {
+		_, err := c.Write(append(head, body...))
 		return nil, err
 	}
 	bodyWritten := make(chan error, 1)
 	go func() {
-		_, err := c.Write(head.Bytes())
+		_, err := c.Write(head)
 		if err == nil {
-			_, err = c.Write(r.Body)
+			_, err = c.Write(body)
 		}
 		bodyWritten <- err
 	}()
--- a/node/jobs/fixture_test.go
+++ b/node/jobs/fixture_test.go
@@ -54,6 +54,7 @@
 
 func (protocol) SetRetryAfter(http.Header, time.Duration) {}
 func (protocol) SetRequestID(h http.Header, id string)    { h.Set("Id", id) }
+func (protocol) IsReservedHeader(name string) bool        { return name == "Expect-Server" }
 func (protocol) ParseSubmission(b []byte) ([]jobs.Item, error) {
 	var items []jobs.Item
 	err := json.Unmarshal(b, &items)
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -31,6 +31,8 @@
 	// and maxBreakDoublings that of one whose servers break off.
 	maxRetryDoublings = 5
 	maxBreakDoublings = 2
+	// invalidRetryDelay is the time before an item is tried again that cannot be sent.
+	invalidRetryDelay = 10 * time.Second
 	// maxErrorBody is the maximum part of the body of an error response that is read, in
 	// bytes.
 	maxErrorBody = 64 << 10
@@ -250,6 +252,12 @@
 func (r *Runner) handleInterruption(ctx context.Context, run *itemRun, item *Item, lease *fleet.Lease, err error) runOutcome {
 	cause := context.Cause(ctx)
 	switch {
+	case errors.Is(err, exchange.ErrInvalidRequest):
+		// Records of older versions may hold such items. They are given up at the end of their
+		// retention time.
+		lease.End(balance.Abandoned)
+		r.logRun(item, run, lease, "invalid", err)
+		return runOutcome{retryDelay: invalidRetryDelay}
 	case cause == nil, errors.Is(cause, errEventTimeout):
 		lease.End(balance.Unreachable)
 		r.Metrics.count("broken")
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -174,6 +174,10 @@
 		s.refuse(w, call, http.StatusBadRequest, "not a submission", err)
 		return
 	}
+	if err := s.validateItems(items); err != nil {
+		s.refuse(w, call, http.StatusBadRequest, "invalid "+err.Error(), nil)
+		return
+	}
 	if s.isClosed() {
 		s.refuse(w, call, http.StatusServiceUnavailable, causeClosed, nil)
 		return
--- a/node/jobs/submission.go
+++ b/node/jobs/submission.go
@@ -64,6 +64,9 @@
 	EncodeResults(total, after int, results []ItemResult) ([]byte, error)
 	// SetRequestID sets the header with the ID under which an item runs.
 	SetRequestID(h http.Header, id string)
+	// IsReservedHeader reports whether the system sets a header of an item's request itself.
+	// The name has the canonical form.
+	IsReservedHeader(name string) bool
 }
 
 func encodeItems(items []Item) ([]byte, error) { return json.Marshal(items) }
