gateway: count a late crash as evidence against the whole request

Cause: a break later than 100 ms after the first event was no evidence, which is right for parts of prompts only.

Change: a late break is evidence against the whole request. The weighing of evidence is unchanged.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -383,8 +383,8 @@
 		lease.End(balance.Unreachable)
 		if !errors.Is(err, exchange.ErrNotSent) {
 			c.gateway.Pool.CloseIdle(lease.Server.Address)
-			if cause == nil && !c.progress.underway(time.Now()) {
-				c.gateway.Containment.RecordBreak(c.subjects, lease.Server)
+			if cause == nil {
+				c.gateway.Containment.RecordBreak(c.suspects(time.Now()), lease.Server)
 			}
 		}
 	case time.Since(lastReceived) > unresponsiveAfter:
@@ -399,6 +399,15 @@
 	return c.recordPossibleRun(lease, err)
 }
 
+// suspects returns what may have crashed the server of the current attempt. Parts of a prompt crash
+// servers that begin a response on them, while a request may do so at any time.
+func (c *call) suspects(now time.Time) poison.Request {
+	if c.progress.underway(now) {
+		return poison.Request{Whole: c.subjects.Whole}
+	}
+	return c.subjects
+}
+
 // recordPossibleRun records an attempt without a complete response that the server may
 // have run.
 func (c *call) recordPossibleRun(lease *fleet.Lease, err error) attemptResult {
--- a/node/gateway/poison_test.go
+++ b/node/gateway/poison_test.go
@@ -7,8 +7,10 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/policy/poison"
 )
 
 // Guards against one part of a prompt that crashes server after server because no two of the
@@ -51,3 +53,29 @@
 		})
 	}
 }
+
+// Guards against a request that goes on crashing servers because each of them has sent events
+// for a while before, and against a request that is blocked though it is answered in between.
+func TestRequestThatCrashesServersLate(t *testing.T) {
+	for name, answered := range map[string]bool{"crashes": false, "is answered now and then": true} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			f := newFleet(t, 12, serving.Route{Kind: serving.Stream, Resumable: true, MaxAttempts: 1}, func(c net.Conn, _ *http.Request, n int) {
+				runs.Add(1)
+				fmt.Fprintf(c, streamHead, "s")
+				fmt.Fprint(c, chunk(event(1)))
+				time.Sleep(beginTime + 20*time.Millisecond)
+				if answered && n%2 == 1 {
+					fmt.Fprint(c, chunk(event(2)), endOfStream)
+				}
+			})
+			for range 8 {
+				f.recover()
+				_, _, _ = f.sendBody(t, "body", "Parts", "shared,own")
+			}
+			if n := runs.Load(); answered != (n == 8) || !answered && n > poison.MaxServers {
+				t.Errorf("the request ran %d times", n)
+			}
+		})
+	}
+}
--- a/policy/poison/fleet_test.go
+++ b/policy/poison/fleet_test.go
@@ -44,10 +44,16 @@
 	now     time.Time
 	delay   time.Duration
 	pending []simReport
+	// lateBy is the time after the beginning of a response at which deadly requests crash their
+	// servers, and countFrom the crash from which the requirements limit the requests.
+	lateBy    time.Duration
+	countFrom int
 
 	crashes, afterFifth int
 	fifthAt             time.Time
 	soundSent           int
+	// heldBack counts the sound requests that are blocked.
+	heldBack int
 	// blamedOnParts counts sound requests that are blocked before they broke on MaxServers
 	// servers themselves.
 	blamedOnParts int
@@ -72,9 +78,11 @@
 	s.runs = nil
 	for _, r := range runs {
 		r.crashes++
-		if f.now.Before(r.beginsAt.Add(100 * time.Millisecond)) {
-			f.later(func() { f.tracker.RecordBreak(f.now, r.Request, server) })
+		broken := r.Request
+		if !f.now.Before(r.beginsAt.Add(100 * time.Millisecond)) {
+			broken.Parts = nil
 		}
+		f.later(func() { f.tracker.RecordBreak(f.now, broken, server) })
 		f.send(r)
 	}
 }
@@ -84,6 +92,9 @@
 	blocked := f.tracker.Blocked(f.now, r.Request)
 	if !r.deadly {
 		f.soundSent++
+		if blocked {
+			f.heldBack++
+		}
 		if blocked && r.crashes < MaxServers {
 			f.blamedOnParts++
 		}
@@ -112,7 +123,7 @@
 	for _, s := range f.servers {
 		crashes := false
 		s.runs = slices.DeleteFunc(s.runs, func(r *simRun) bool {
-			crashes = crashes || r.deadly && !f.now.Before(r.beginsAt)
+			crashes = crashes || r.deadly && !f.now.Before(r.beginsAt.Add(f.lateBy))
 			done := !r.deadly && !f.now.Before(r.endsAt)
 			if done {
 				f.later(func() { f.tracker.RecordAnswer(f.now, r.Request) })
@@ -120,7 +131,7 @@
 			return done
 		})
 		if crashes {
-			if f.crashes++; f.crashes == crashesThatCount {
+			if f.crashes++; f.crashes == f.countFrom {
 				f.fifthAt = f.now
 			}
 			f.crash(s)
@@ -136,7 +147,7 @@
 		random := rand.New(rand.NewPCG(seed, 2))
 		between := func(low, high float64) float64 { return low + (high-low)*random.Float64() }
 		f := &simFleet{
-			random: rand.New(rand.NewPCG(seed, 1)), tracker: NewTracker(0), now: epoch, lastWhole: 1 << 20,
+			random: rand.New(rand.NewPCG(seed, 1)), tracker: NewTracker(0), now: epoch, lastWhole: 1 << 20, countFrom: crashesThatCount,
 			delay: time.Duration(between(1, 60) * float64(time.Millisecond)),
 		}
 		for n := range 6 + random.IntN(55) {
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -1,8 +1,8 @@
 // Package poison finds out what crashes servers (queries of death) and blocks it before it
 // reaches more of them.
 //
-// Each run that breaks with its server is evidence against the request and against the parts
-// of its prompt. What may be blamed is decided on evidence:
+// Each run that breaks with its server is evidence against the request and, if its response had
+// only begun, against the parts of its prompt. What may be blamed is decided on evidence:
 //   - A complete answer shows that a request and all parts of its prompt crash no server.
 //     A part is not blamed for AnswerTTL after an answer.
 //   - A request is blocked after it broke on MaxServers servers.
--- a/policy/poison/tracker.go
+++ b/policy/poison/tracker.go
@@ -35,7 +35,8 @@
 }
 
 // RecordBreak records that a run of a request broke with its server before it can have shown
-// that it crashes none. server identifies one start of a server.
+// that it crashes none. server identifies one start of a server. A request without parts stands
+// for a run whose response was underway, which is evidence against the whole request only.
 func (t *Tracker) RecordBreak(now time.Time, r Request, server uint32) Change {
 	r.Parts = slices.DeleteFunc(slices.Clone(r.Parts), func(p Subject) bool { return t.answeredRecently(now, p) })
 	e := t.getOrCreate(now, r)
@@ -430,6 +431,9 @@
 		e = &evidence{crashes: map[uint32]time.Time{}}
 		t.requests[r.Whole] = e
 	}
+	if len(r.Parts) == 0 {
+		r.Parts = e.Parts // of a run that broke earlier in its response
+	}
 	e.Request, e.updated = r, now
 	return e
 }
