--- a/node/serve/callers.go
+++ b/node/serve/callers.go
@@ -70,7 +70,7 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *callerServer) Serve(l *net.TCPListener) error {
-	s.listener.TCPListener = l
+	s.listener.set(l)
 	err := s.server.Serve(s.listener)
 	if errors.Is(err, net.ErrClosed) {
 		return http.ErrServerClosed
@@ -116,6 +116,20 @@
 	conns map[*callerConn]struct{}
 }
 
+// set sets the listener before its first use by Accept.
+func (l *callerListener) set(tcp *net.TCPListener) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.TCPListener = tcp
+}
+
+// listening reports whether there is a listener.
+func (l *callerListener) listening() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.TCPListener != nil
+}
+
 // Accept implements net.Listener. It returns net.ErrClosed once no connection waits after
 // acceptRest was called.
 func (l *callerListener) Accept() (net.Conn, error) {
@@ -145,7 +159,7 @@
 // acceptRest makes Accept return what waits in the queue and then close the listener. It
 // returns when that is done, or after maxBacklogTime.
 func (l *callerListener) acceptRest() {
-	if l.TCPListener == nil || l.closing.Swap(true) || l.SetDeadline(time.Now().Add(backlogPause)) != nil {
+	if !l.listening() || l.closing.Swap(true) || l.SetDeadline(time.Now().Add(backlogPause)) != nil {
 		return // not listening, or closed before
 	}
 	select {
