relay, fleet, jobs: treat calls that the store rejects as backpressure

Cause: a rejection with 429 counted as an outage, during which removed entries are kept, and was followed by two calls through peers and a probe. Reading results made one call to the store for each of them.

Change: a rejected read is tried again after a pause and nothing else. Only if no call succeeds for half a second may the store turn this instance away alone. Outputs that lie close together are read with one call.

--- a/node/fleet/follow.go
+++ b/node/fleet/follow.go
@@ -65,6 +65,10 @@
 			klog.InfoS("feed expired, listing anew", "feed", f.Name, "from", offset, "first", expired.First)
 			offset = -1
 			continue
+		case port.IsRateLimited(err):
+			// The store is up, so that entries do not expire.
+			clock.Sleep(ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
+			continue
 		case err != nil:
 			if !lost {
 				klog.InfoS("dependency lost", "dependency", "store", "feed", f.Name, "cause", err)
--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -81,6 +81,9 @@
 		switch {
 		case ctx.Err() != nil:
 			return
+		case port.IsRateLimited(err):
+			clock.Sleep(ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
+			continue
 		case err != nil:
 			x.storeHealth.recordFailure(time.Now())
 			if !lost {
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -344,6 +344,7 @@
 // readAndWriteResults reads the outputs of the results from call.After on and writes the
 // response, which has at least one result and at most maxResultBytes of output otherwise.
 func (s *Service) readAndWriteResults(w http.ResponseWriter, r *http.Request, call Call, job *joblog.Job) {
+	s.prefetchOutputs(r.Context(), job.Results[call.After:])
 	var results []ItemResult
 	size := 0
 	for _, result := range job.Results[call.After:] {
@@ -370,6 +371,21 @@
 	s.writeResults(w, call, job, results)
 }
 
+// prefetchOutputs reads the outputs of as many results as fit into a response.
+func (s *Service) prefetchOutputs(ctx context.Context, results []*joblog.Result) {
+	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+	defer cancel()
+	var outputs [][]joblog.Extent
+	size := 0
+	for _, result := range results {
+		if size += joblog.TotalBytes(result.Output); size > maxResultBytes {
+			break
+		}
+		outputs = append(outputs, result.Output)
+	}
+	s.Blobs.Prefetch(ctx, outputs)
+}
+
 func (s *Service) writeResults(w http.ResponseWriter, call Call, job *joblog.Job, results []ItemResult) {
 	raw, err := s.Codec.EncodeResults(len(job.Items), call.After, results)
 	if err != nil {
--- a/node/port/errors.go
+++ b/node/port/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -49,6 +50,13 @@
 	RetryAfter time.Duration
 }
 
+// IsRateLimited reports whether a call was rejected because there were too many. The platform is up
+// then, and further calls only make it worse.
+func IsRateLimited(err error) bool {
+	var status *StatusError
+	return errors.As(err, &status) && status.Status == http.StatusTooManyRequests
+}
+
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("port: answered with status %d", e.Status)
 }
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -49,6 +51,8 @@
 	unresponsive  // neither executes the call nor responds
 	// refusesAppends represents an outage of some partitions.
 	refusesAppends
+	// limitsRate rejects all calls with status 429.
+	limitsRate
 )
 
 // fakePath is one instance's path to the store.
@@ -80,6 +84,8 @@
 	switch m {
 	case refusesCalls:
 		return m, port.ErrUnavailable
+	case limitsRate:
+		return m, fmt.Errorf("%w: %w", port.ErrUnavailable, &port.StatusError{Status: http.StatusTooManyRequests})
 	case unresponsive:
 		<-ctx.Done()
 		return m, port.ErrOutcomeUnknown
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -27,6 +27,9 @@
 	// probeInterval is the interval of probes of the own path while it is down. The recovery
 	// of the store has to be noticed within the 3 s after which it counts as stable.
 	probeInterval = 400 * time.Millisecond
+	// turnedAwayAfter is the time without a successful call after which rejections by the rate
+	// limit show that the store turns this instance away and may serve others.
+	turnedAwayAfter = 500 * time.Millisecond
 )
 
 // Peers lists the other instances.
@@ -46,6 +49,9 @@
 
 	mu    sync.Mutex
 	paths *pathselect.Paths
+	// rejectedSince is the time of the first call on the own path that was rejected by the rate
+	// limit since one succeeded; zero if none was.
+	rejectedSince time.Time
 	// probeRequests receives a value to request a probe of the own path.
 	probeRequests chan struct{}
 
@@ -181,7 +187,7 @@
 	defer timer.Stop()
 	select {
 	case r := <-done:
-		if answered(r.err) || ctx.Err() != nil {
+		if answered(r.err) || ctx.Err() != nil || s.isBackpressure(r.err) {
 			return r.value, r.err
 		}
 		value, peerErr := callPeers(ctx, s, wait, viaPeer)
@@ -236,6 +242,8 @@
 			latency = 0 // the duration includes the time for which the store waited for records
 		}
 		s.recordSuccess(latency)
+	case s.recordRejection(err):
+		s.counts.Add("rate_limited", 1)
 	case ctx.Err() == nil:
 		s.counts.Add("own_failed", 1)
 		s.requestProbe()
@@ -243,8 +251,32 @@
 	return value, err
 }
 
+// recordRejection records the error of a call on the own path and reports whether it is
+// backpressure: a rejection by the rate limit of a store that serves other calls.
+func (s *Store) recordRejection(err error) bool {
+	if !port.IsRateLimited(err) {
+		return false
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rejectedSince.IsZero() {
+		s.rejectedSince = now
+	}
+	return now.Sub(s.rejectedSince) < turnedAwayAfter
+}
+
+// isBackpressure reports whether a call failed because all instances together make too many. Calls
+// through peers would be rejected as well, and add to their number.
+func (s *Store) isBackpressure(err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return port.IsRateLimited(err) && time.Since(s.rejectedSince) < turnedAwayAfter
+}
+
 func (s *Store) recordSuccess(latency time.Duration) {
 	s.mu.Lock()
+	s.rejectedSince = time.Time{}
 	regained := s.paths.RecordSuccess(latency)
 	s.mu.Unlock()
 	if regained {
