--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -66,22 +66,25 @@
 		{"service", "GET", "/services/other/x", "", nil, 404, "service_not_found", "service"},
 		{"call", "GET", "/v1/calls/none", "", nil, 404, "not_found", "key"},
 	} {
-		got := h.do(tc.method, tc.path, tc.body, tc.headers...)
-		var e web.ErrorBody
-		if err := json.Unmarshal([]byte(got.body), &e); err != nil {
-			t.Errorf("%s: status %d, body %q: %v", tc.name, got.status, got.body, err)
-			continue
-		}
-		param := ""
-		if e.Error.Param != nil {
-			param = *e.Error.Param
-		}
-		if got.status != tc.status || string(e.Error.Code) != tc.code || param != tc.param || e.Error.Message == "" {
-			t.Errorf("%s: status %d, body %s", tc.name, got.status, got.body)
-		}
-		if got.header.Get(web.HeaderOutcome) != "not-run" {
-			t.Errorf("%s: outcome %q", tc.name, got.header.Get(web.HeaderOutcome))
-		}
+		t.Run(tc.name, func(t *testing.T) {
+			h.t = t
+			got := h.do(tc.method, tc.path, tc.body, tc.headers...)
+			var e web.ErrorBody
+			if err := json.Unmarshal([]byte(got.body), &e); err != nil {
+				t.Errorf("%s: status %d, body %q: %v", tc.name, got.status, got.body, err)
+				return
+			}
+			param := ""
+			if e.Error.Param != nil {
+				param = *e.Error.Param
+			}
+			if got.status != tc.status || string(e.Error.Code) != tc.code || param != tc.param || e.Error.Message == "" {
+				t.Errorf("%s: status %d, body %s", tc.name, got.status, got.body)
+			}
+			if got.header.Get(web.HeaderOutcome) != "not-run" {
+				t.Errorf("%s: outcome %q", tc.name, got.header.Get(web.HeaderOutcome))
+			}
+		})
 	}
 	if h.servers.count() != 0 {
 		t.Errorf("%d requests reached a server", h.servers.count())
