balance: let batch requests run on servers of one slot

Cause: each server kept one slot free of batch requests, whatever its size.

Change: servers with no more slots than the headroom keep an eighth of their slots free over the whole service; a single one takes batch requests, which online requests preempt. Larger servers are unchanged.

--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -33,7 +33,8 @@
 	// Left is the time until the request's deadline, and RunTime the time that a request
 	// takes on a server of median speed; zero if not known.
 	Left, RunTime time.Duration
-	// Headroom is the number of slots that a batch request leaves free.
+	// Headroom is the number of slots that a batch request leaves free on a server. Of the
+	// servers that have no more slots than that, it leaves a share free over the whole service.
 	Headroom int
 	// Slack is the time for which a batch request can wait and still be done when it is
 	// due; it is negative for one that a server of mean speed would finish late. Requester
@@ -93,6 +94,9 @@
 	// batchWaitTTL is the time for which a batch request that found no slot has priority
 	// over requests with more slack: instances ask again every 40 ms.
 	batchWaitTTL = 120 * time.Millisecond
+	// smallServerShare is the share of the slots of servers with no more slots than the headroom
+	// that batch requests leave free, as many as of a server with eight slots and one that is free.
+	smallServerShare = 1.0 / 8
 	// slackMargin is the difference up to which two slacks count as equal.
 	slackMargin = 500 * time.Millisecond
 	// sampleSize is the number of candidates that are drawn at random; the best of them
@@ -170,6 +174,7 @@
 	median := group.medianStepTime(now)
 	candidates = t.candidates[:0]
 	t.findUrgentWaits(now, &q)
+	smallServersFull := q.Class == Batch && group.smallServersFull(now, q.Headroom)
 	for _, s := range group.servers {
 		switch {
 		case !s.eligible(&q):
@@ -178,7 +183,7 @@
 			if unreachable == nil || s.backoffUntil.Before(unreachable.backoffUntil) {
 				unreachable = s
 			}
-		case q.Class == Batch && (s.inFlight()+q.Headroom >= s.slots() || s.failureRate(now) > maxBatchFailureRate || t.isReserved(s)):
+		case q.Class == Batch && (!s.hasBatchSlot(q.Headroom, smallServersFull) || s.failureRate(now) > maxBatchFailureRate || t.isReserved(s)):
 		default:
 			tier := s.tier()
 			candidates = append(candidates, candidate{s, s.score(now, q, tier, median), tier})
@@ -188,6 +193,30 @@
 	return candidates, unreachable
 }
 
+// hasBatchSlot reports whether a batch request may take a slot of the server.
+func (s *serverState) hasBatchSlot(headroom int, smallServersFull bool) bool {
+	if s.slots() > headroom {
+		return s.inFlight()+headroom < s.slots()
+	}
+	return s.inFlight() < s.slots() && !smallServersFull
+}
+
+// smallServersFull reports whether no batch request may take a slot of the servers that have no
+// more slots than the headroom. One of them alone takes batch requests, since an online request
+// can preempt them.
+func (g *serviceState) smallServersFull(now time.Time, headroom int) bool {
+	free, slots := 0, 0
+	for _, s := range g.servers {
+		if s.slots() > headroom || !s.server.Usable() || s.consecutiveUnreachable > 0 && now.Before(s.backoffUntil) {
+			continue
+		}
+		free += max(0, s.slots()-s.inFlight())
+		slots += s.slots()
+	}
+	reserve := int(math.Ceil(smallServerShare * float64(slots)))
+	return free <= min(reserve, slots-1)
+}
+
 // batchWait is a batch request that found no free slot.
 type batchWait struct {
 	service string
