jobs: count failures of an item over all holders of its job

A server got an item that fails at each run again after each change of the holder of its job, up to the limit of attempts each time. An item that no server can hold was sent about twice a second and counted as a failure of servers with free slots.

Cause: the answers of 500 were counted in the memory of the holder, and each refusal was taken for a fault of the server.

The refusal of an item that states more tokens than the servers of the service hold counts against none, and is repeated after 5 s.

--- a/domain/joblog/record.go
+++ b/domain/joblog/record.go
@@ -110,6 +110,14 @@
 	SentAtMs int64 `json:"sentAt"`
 }
 
+// Failed records that a server answered an item with a failure.
+type Failed struct {
+	Job  string `json:"job"`
+	Item int    `json:"item"`
+	// Count is the number of failures so far, whichever instances they were answered to.
+	Count int `json:"count"`
+}
+
 // Ended records that the caller ended a job.
 type Ended struct {
 	Job string `json:"job"`
@@ -122,6 +130,7 @@
 	Progress *Progress `json:"progress,omitempty"`
 	Ended    *Ended    `json:"ended,omitempty"`
 	Claimed  *Claimed  `json:"claimed,omitempty"`
+	Failed   *Failed   `json:"failed,omitempty"`
 }
 
 // Encode returns the record in its JSON encoding.
--- a/domain/joblog/table.go
+++ b/domain/joblog/table.go
@@ -7,6 +7,8 @@
 	HasResult bool
 	// Progress is the saved output of a run that was stopped; nil if there is none.
 	Progress *Progress
+	// Failures is the number of failures that servers have answered.
+	Failures int
 }
 
 // Job is the state of one job. The embedded Holder is the current holder.
@@ -110,6 +112,8 @@
 		return t.addResult(r.Result)
 	case r.Progress != nil:
 		return t.saveProgress(r.Progress)
+	case r.Failed != nil:
+		return t.addFailure(r.Failed)
 	case r.Claimed != nil:
 		j := t.jobs[r.Claimed.Job]
 		if j == nil || j.Holder != r.Claimed.From || r.Claimed.To == r.Claimed.From {
@@ -230,6 +234,15 @@
 	return j
 }
 
+func (t *Table) addFailure(f *Failed) *Job {
+	j := t.jobs[f.Job]
+	if j == nil || f.Item < 0 || f.Item >= len(j.Items) || j.Items[f.Item].HasResult || j.Items[f.Item].Failures >= f.Count {
+		return nil
+	}
+	j.Items[f.Item].Failures = f.Count
+	return j
+}
+
 // Purge removes the jobs that are not open and were last updated before the given
 // time, and returns their number. Their records expire in the store as well.
 func (t *Table) Purge(before time.Time) int {
--- a/node/jobs/abandon_test.go
+++ b/node/jobs/abandon_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 )
@@ -87,3 +88,65 @@
 		})
 	}
 }
+
+// Guards against failures of an item that each holder of its job counts anew, so that servers get
+// an item that fails at each run for as long as holders change.
+func TestFailuresCountAcrossHolders(t *testing.T) {
+	s := newCluster(t)
+	killed := make(chan struct{})
+	s.server.respond = func(c net.Conn, r *http.Request, run int) bool {
+		if run == 1 {
+			<-killed // the second run is that of the first holder, too
+			return true
+		}
+		writeStatus(c, r.Header.Get("Id"), http.StatusInternalServerError)
+		return true
+	}
+	a := s.start("a", 1)
+	submitJob(t, a, "j", "x")
+	waitFor(t, func() bool { return failures(a, "j") == 1 })
+	a.kill()
+	close(killed)
+	before := s.server.count("x")
+	b := s.start("b", 1)
+	if result := b.awaitResults("j", 1)[0]; !result.DeadLetter {
+		t.Fatalf("%+v, want the item as given up", result)
+	}
+	if n := s.server.count("x"); n > before+2 {
+		t.Errorf("the item ran %d times, %d times before the change of the holder; the route allows 3 attempts", n, before)
+	}
+}
+
+// failures returns the recorded failures of the first item of a job.
+func failures(i *instance, job string) (n int) {
+	i.index.Read(func(table *joblog.Table) {
+		if j := table.Job(job); j != nil {
+			n = j.Items[0].Failures
+		}
+	})
+	return n
+}
+
+// Guards against a server that gets no items because it refuses one that no server can hold, and
+// against such an item being sent again and again.
+func TestOversizedItemIsNoFaultOfItsServers(t *testing.T) {
+	s := newCluster(t)
+	s.server.respond = func(c net.Conn, r *http.Request, _ int) bool {
+		if r.Header.Get("Id") != "large" {
+			return false
+		}
+		refuse(c, "large")
+		return true
+	}
+	a := s.start("a", 1)
+	revision := *a.view.Revision()
+	revision.Version++
+	revision.Services = map[string]*serving.Service{"svc": {Name: "svc", Engine: &serving.Engine{Slots: 8, KVCacheTokens: tokensPerItem - 1}}}
+	a.view.ApplyConfig([]port.Entry[serving.Revision]{{Key: "c", Value: &revision}}, true)
+	submitJob(t, a, "j", "large", "x", "y", "z")
+	checkResults(t, a.awaitResults("j", 3), "x", "y", "z")
+	time.Sleep(500 * time.Millisecond)
+	if n := s.server.count("large"); n != 1 {
+		t.Errorf("the item was sent %d times in half a second, want once", n)
+	}
+}
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -33,6 +33,8 @@
 	maxBreakDoublings = 2
 	// invalidRetryDelay is the time before an item is tried again that cannot be sent.
 	invalidRetryDelay = 10 * time.Second
+	// oversizedRetryDelay is the time before an item is tried again that no server can hold.
+	oversizedRetryDelay = 5 * time.Second
 	// maxErrorBody is the maximum part of the body of an error response that is read, in
 	// bytes.
 	maxErrorBody = 64 << 10
@@ -83,7 +85,7 @@
 	// droppedUpTo, is not used.
 	dropsProgress bool
 	droppedUpTo   int64
-	// failures counts responses with status 500. timeouts and breaks count the runs since the
+	// failures counts responses with status 500, also those to earlier holders. timeouts and breaks count the runs since the
 	// last event that ended by a timeout, or otherwise without a complete response.
 	failures, timeouts, breaks int
 }
@@ -184,13 +186,11 @@
 	case parsed.NotRun:
 		// A read error also makes Close discard the connection.
 		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxErrorBody))
-		lease.End(balance.Refused)
-		r.logRun(item, run, lease, "refused by the server", nil)
-		return runOutcome{retryDelay: refusedRetryDelay}
+		return r.handleRefusal(run, item, lease)
 	case response.Status == http.StatusOK && parsed.Signed:
 		return r.readOutput(sendCtx, run, item, progress, lease, response, eventTimer, eventTimeout)
 	}
-	return r.handleFailure(run, item, accepted, route, lease, response)
+	return r.handleFailure(ctx, run, item, accepted, route, lease, response)
 }
 
 // eventTimeout returns the time without a complete event after which the run ends.
@@ -272,8 +272,31 @@
 	return runOutcome{}
 }
 
+// handleRefusal handles the response of a server that did not run the item.
+func (r *Runner) handleRefusal(run *itemRun, item *Item, lease *fleet.Lease) runOutcome {
+	r.logRun(item, run, lease, "refused by the server", nil)
+	if r.exceedsServers(item, lease.Server.Service) {
+		// No server can run it, so that the refusal is no fault of this one.
+		lease.End(balance.Abandoned)
+		return runOutcome{retryDelay: oversizedRetryDelay}
+	}
+	lease.End(balance.Refused)
+	return runOutcome{retryDelay: refusedRetryDelay}
+}
+
+// exceedsServers reports whether an item states more tokens than the servers of a service hold,
+// by the configuration in force.
+func (r *Runner) exceedsServers(item *Item, service string) bool {
+	revision := r.View.Revision()
+	if revision == nil {
+		return false
+	}
+	s := revision.Services[service]
+	return s != nil && s.Engine != nil && s.Engine.KVCacheTokens > 0 && item.Tokens > s.Engine.KVCacheTokens
+}
+
 // handleFailure handles a response of the server without output.
-func (r *Runner) handleFailure(run *itemRun, item *Item, accepted *joblog.Accepted, route *serving.Route, lease *fleet.Lease, response *exchange.Response) runOutcome {
+func (r *Runner) handleFailure(ctx context.Context, run *itemRun, item *Item, accepted *joblog.Accepted, route *serving.Route, lease *fleet.Lease, response *exchange.Response) runOutcome {
 	// A read error also makes Close discard the connection.
 	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxErrorBody))
 	r.Metrics.count("failed")
@@ -291,6 +314,7 @@
 			deadLetter.Reason = fmt.Sprintf("failed %d times", run.failures)
 			return runOutcome{result: deadLetter}
 		}
+		r.saveFailures(ctx, run)
 	default:
 		lease.End(balance.Failed)
 	}
@@ -413,6 +437,16 @@
 	klog.InfoS("partial output saved", "job", run.job, "item", run.index, "after", run.lastEvent, "err", err)
 }
 
+// saveFailures records the number of failures, so that it counts at the next holder of the job.
+func (r *Runner) saveFailures(ctx context.Context, run *itemRun) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), progressWriteTimeout)
+	defer cancel()
+	err := r.Index.Append(ctx, &joblog.Record{Failed: &joblog.Failed{Job: run.job, Item: run.index, Count: run.failures}})
+	if err != nil {
+		klog.InfoS("recording a failure of an item failed", "job", run.job, "item", run.index, "failures", run.failures, "err", err)
+	}
+}
+
 // logRun logs the end of one run of an item.
 func (r *Runner) logRun(item *Item, run *itemRun, lease *fleet.Lease, outcome string, err error) {
 	klog.InfoS("item run", "id", item.ID, "job", run.job, "item", run.index, "server", lease.Server.ID, "outcome", outcome,
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -369,6 +369,7 @@
 		c.items[c.index] = run
 	}
 	run.active = true
+	run.failures = max(run.failures, c.job.Items[c.index].Failures)
 	run.server = lease.Server.ID
 	run.startedAt = time.Now()
 	ctx, run.cancel = context.WithCancelCause(ctx)
