jobs: bound the cache of decoded jobs by bytes

Cause: the cache held 32 decoded jobs, whatever their size, and any number of jobs was read and decoded at once.

The metric jobs.decoded_bytes is its size.

--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -46,8 +46,6 @@
 	preemptedRetryDelay = 200 * time.Millisecond
 	// maxRunningItems is the maximum number of items that one instance runs at once.
 	maxRunningItems = 96
-	// maxDecodedJobs is the maximum number of jobs whose decoded items are cached.
-	maxDecodedJobs = 32
 )
 
 // Members provides the live instances.
@@ -90,8 +88,12 @@
 	// a default limit.
 	OutputBudget int
 
-	outputs *budget.Budget
-	mu      sync.Mutex
+	// ContentCacheBytes limits the memory of the decoded items of jobs; zero means a default limit.
+	ContentCacheBytes int
+
+	outputs  *budget.Budget
+	contents *contentCache
+	mu       sync.Mutex
 	// takeovers decides which jobs this instance holds or claims.
 	takeovers *takeover.Table
 	// endings decides which items are given up, and abandoningJobs is the number of jobs of
@@ -100,8 +102,6 @@
 	abandoningJobs int
 	runTimes       leastslack.RunTimeEstimator
 	jobs           map[string]*jobState
-	// contents caches the decoded items of jobs, by job.
-	contents map[string][]Item
 	// running is the number of items that are running.
 	running  int
 	draining bool
@@ -136,7 +136,8 @@
 // Init initializes the runner. It must be called before Run.
 func (r *Runner) Init() {
 	r.takeovers, r.endings = takeover.NewTable(r.Self, time.Now()), abandon.NewTable()
-	r.jobs, r.contents = map[string]*jobState{}, map[string][]Item{}
+	r.jobs, r.contents = map[string]*jobState{}, newContentCache(cmp.Or(r.ContentCacheBytes, defaultContentCacheBytes))
+	r.Metrics.counts.Set("decoded_bytes", r.contents.bytes())
 	r.wakeups = make(chan struct{}, 1)
 	r.outputs = newOutputBudget(cmp.Or(r.OutputBudget, defaultOutputBudget))
 }
@@ -285,7 +286,7 @@
 			r.dropOutputs(js)
 			delete(r.jobs, j.Job)
 			r.endings.Forget(j.Job)
-			delete(r.contents, j.Job)
+			r.contents.remove(j.Job)
 		}
 	}
 	return claims
@@ -415,34 +416,6 @@
 	return true
 }
 
-// content returns the decoded items of a job, from the cache or the store.
-func (r *Runner) content(ctx context.Context, accepted *joblog.Accepted) ([]Item, error) {
-	r.mu.Lock()
-	items := r.contents[accepted.Job]
-	r.mu.Unlock()
-	if items != nil {
-		return items, nil
-	}
-	raw, err := r.Blobs.Read(ctx, accepted.Content)
-	if err != nil {
-		return nil, err
-	}
-	items, err = decodeItems(raw)
-	if err != nil {
-		return nil, err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.contents) >= maxDecodedJobs {
-		for job := range r.contents {
-			delete(r.contents, job)
-			break
-		}
-	}
-	r.contents[accepted.Job] = items
-	return items, nil
-}
-
 // Drain stops all runs, saves their partial output and releases the jobs, so that other
 // instances continue from there. It returns when that is done or when ctx is done.
 func (r *Runner) Drain(ctx context.Context) {
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -44,6 +44,8 @@
 	goMemoryShare = 0.6
 	// blobCacheMemoryShare is the share of the host's memory for the cache of job blobs.
 	blobCacheMemoryShare = 0.08
+	// contentCacheMemoryShare is the share of the host's memory for the decoded items of jobs.
+	contentCacheMemoryShare = 0.06
 	// outputMemoryShare is the share of the host's memory for the outputs of unfinished items.
 	outputMemoryShare = 0.06
 	// responseMemoryShare is the share of the host's memory for the responses that are received
@@ -152,7 +154,8 @@
 	i.runner = &jobs.Runner{
 		Index: i.index, Blobs: blobStore, View: i.view, Pool: i.pool, Protocol: p.Protocol, Codec: p.Protocol,
 		Members: group, Placer: group, Metrics: i.jobMetrics, Answers: group, Origins: i.origins, Self: self,
-		OutputBudget: int(outputMemoryShare * float64(s.Limits.MemoryMB<<20)),
+		ContentCacheBytes: int(contentCacheMemoryShare * float64(s.Limits.MemoryMB<<20)),
+		OutputBudget:      int(outputMemoryShare * float64(s.Limits.MemoryMB<<20)),
 	}
 	i.runner.Init()
 	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Containment: group, Origins: i.origins, Metrics: gateway.NewMetrics(), Drain: gateway.NewDrain()}
