peers: repeat reports of broken runs

A request that crashes servers was not held back if the datagrams that report its crashes to the hubs were lost and no further crash followed (TestBlocksReachAllInstances, 2 of about 1,000 runs).

Cause: each report was sent once to each hub.

A hub ignores repetitions, so that a crash does not count again after an answer.

--- a/node/peers/containment.go
+++ b/node/peers/containment.go
@@ -26,11 +26,15 @@
 type containment struct {
 	mu      sync.Mutex
 	tracker *poison.Tracker
-	counts  expvar.Map
+	// pendingBreaks are the reports of broken runs that are sent again, the oldest first, and
+	// seenBreaks the times of those that arrived here.
+	pendingBreaks []pendingBreak
+	seenBreaks    map[breakKey]time.Time
+	counts        expvar.Map
 }
 
 func newContainment(name string) containment {
-	return containment{tracker: poison.NewTracker(float64(hash(name)) / (math.MaxUint32 + 1))}
+	return containment{tracker: poison.NewTracker(float64(hash(name)) / (math.MaxUint32 + 1)), seenBreaks: map[breakKey]time.Time{}}
 }
 
 // ContainmentMetrics returns counters: broken runs, blocks, and subjects that were cleared.
@@ -54,6 +58,7 @@
 		}
 	}
 	change := c.tracker.RecordBreak(now, r, report.Server)
+	c.repeatLater(now, report)
 	c.mu.Unlock()
 	c.counts.Add("broken_runs", 1)
 	klog.InfoS("run broken by its server", "request", subjectName(r.Whole), "parts", subjectNames(r.Parts), "answeredParts", len(report.Answered), "server", server.ID)
@@ -75,10 +80,16 @@
 
 // onBrokenRun applies a peer's report of a broken run.
 func (g *Group) onBrokenRun(report *brokenRun) {
+	now, c := time.Now(), &g.containment
+	c.mu.Lock()
+	repeated := c.isRepetition(now, report)
+	c.mu.Unlock()
+	if repeated {
+		return
+	}
 	for i := range report.Answered {
 		g.onAnswer(&report.Answered[i])
 	}
-	now, c := time.Now(), &g.containment
 	c.mu.Lock()
 	change := c.tracker.RecordBreak(now, poison.Request{Whole: report.Whole, Parts: report.Parts}, report.Server)
 	c.mu.Unlock()
--- a/node/peers/report.go
+++ b/node/peers/report.go
@@ -98,6 +98,7 @@
 	if len(departures) > 0 {
 		g.send(kindDepartures, &departureReport{Name: g.opt.Name, Servers: encodeDepartures(now, departures)}, due...)
 	}
+	g.resendBreaks(now)
 	if isHub {
 		next = earlier(next, g.hubTick(now))
 	}
