owner: publish the backlog before the calls that changed it are answered

Cause: committed calls were answered before the new state was published.

Change: the state is published first.

--- a/node/owner/partition_owner.go
+++ b/node/owner/partition_owner.go
@@ -245,12 +245,12 @@
 	if a.Valid() {
 		o.manager.reader.put(o.number, r.Offset, a.Batch, len(r.Payload))
 	}
-	changed := o.trackRecord(&a)
-	o.completeCommitted(progress.Committed)
-	o.retryChangedCalls(&a)
-	if changed {
+	if o.trackRecord(&a) {
+		// A caller that is answered below must find the new state.
 		o.publishBacklog()
 	}
+	o.completeCommitted(progress.Committed)
+	o.retryChangedCalls(&a)
 }
 
 // trackRecord updates the owner's leases, calls and audit trail from a record. It
