workspaces: keys, the caller of each request, and what placements know of it

Cause: configurations with workspaces were served as if they had none: the key went on to the server and nobody was refused. Change: domain/workspace holds keys (as hashes) and workspaces; the gateway and the calls about jobs identify callers, refuse unknown keys with 401, remove the key and name the workspace at each server; a job belongs to the workspace that submitted it.

--- a/domain/joblog/record.go
+++ b/domain/joblog/record.go
@@ -32,6 +32,9 @@
 	// Route is the name of the route at the time of the acceptance. The limit on waiting
 	// tokens counts the job on it.
 	Route string `json:"route,omitempty"`
+	// Workspace is the name of the workspace that the job belongs to; empty for a job that was
+	// submitted without a key.
+	Workspace string `json:"workspace,omitempty"`
 	// Revision is the version of the configuration at the acceptance. A configuration with a
 	// lower version does not tell whether the route still exists.
 	Revision int64 `json:"revision,omitempty"`
--- a/domain/joblog/table.go
+++ b/domain/joblog/table.go
@@ -27,6 +27,11 @@
 // Open reports whether the job has unfinished items.
 func (j *Job) Open() bool { return !j.Ended && len(j.Results) < len(j.Items) }
 
+// AccessibleTo reports whether callers of a workspace may know of the job.
+func (a *Accepted) AccessibleTo(workspace string) bool {
+	return a.Workspace == "" || a.Workspace == workspace
+}
+
 // ItemTokens returns the size of an item in tokens, or zero if the submission did not
 // state it.
 func (a *Accepted) ItemTokens(item int) int64 {
@@ -42,8 +47,8 @@
 	jobs map[string]*Job
 	// open holds the jobs with unfinished items.
 	open map[string]*Job
-	// waiting holds the sums of tokens by route.
-	waiting map[string]*Waiting
+	// waiting holds the sums of tokens.
+	waiting map[WaitingKey]*Waiting
 	// Ignored counts the records that had no effect.
 	Ignored int64
 	next    int64
@@ -51,7 +56,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{jobs: map[string]*Job{}, open: map[string]*Job{}, waiting: map[string]*Waiting{}}
+	return &Table{jobs: map[string]*Job{}, open: map[string]*Job{}, waiting: map[WaitingKey]*Waiting{}}
 }
 
 // Next returns the offset of the next record to apply.
@@ -137,7 +142,12 @@
 	return nil
 }
 
-// Waiting is the sum of the tokens of the unfinished items of jobs on a route.
+// WaitingKey is what the tokens of unfinished items are summed up by.
+type WaitingKey struct{ Route, Workspace string }
+
+func (a *Accepted) waitingKey() WaitingKey { return WaitingKey{a.Route, a.Workspace} }
+
+// Waiting is the sum of the tokens of the unfinished items of a workspace's jobs on a route.
 type Waiting struct {
 	// Tokens is the sum now, and Lowest the lowest one since the last call of ResetLowest.
 	Tokens, Lowest int64
@@ -145,22 +155,22 @@
 	Finished int64
 }
 
-// WaitingByRoute calls f with the sum of each route that ever had a job.
-func (t *Table) WaitingByRoute(f func(route string, w Waiting)) {
-	for route, w := range t.waiting {
-		f(route, *w)
+// ForEachWaiting calls f with the sum of each route and workspace that ever had a job.
+func (t *Table) ForEachWaiting(f func(k WaitingKey, w Waiting)) {
+	for k, w := range t.waiting {
+		f(k, *w)
 	}
 }
 
-// Waiting returns the sum of a route.
-func (t *Table) Waiting(route string) Waiting {
-	if w := t.waiting[route]; w != nil {
+// Waiting returns the sum of a route and workspace.
+func (t *Table) Waiting(k WaitingKey) Waiting {
+	if w := t.waiting[k]; w != nil {
 		return *w
 	}
 	return Waiting{}
 }
 
-// ResetLowest makes the lowest sums of all routes begin at the present ones.
+// ResetLowest makes all lowest sums begin at the present ones.
 func (t *Table) ResetLowest() {
 	for _, w := range t.waiting {
 		w.Lowest = w.Tokens
@@ -168,10 +178,10 @@
 }
 
 func (t *Table) addWaiting(j *Job) {
-	w := t.waiting[j.Route]
+	w := t.waiting[j.waitingKey()]
 	if w == nil {
 		w = &Waiting{}
-		t.waiting[j.Route] = w
+		t.waiting[j.waitingKey()] = w
 	}
 	for i := range j.Items {
 		w.Tokens += j.ItemTokens(i)
@@ -179,7 +189,7 @@
 }
 
 func (t *Table) removeWaiting(j *Job, item int) {
-	w := t.waiting[j.Route]
+	w := t.waiting[j.waitingKey()]
 	w.Tokens -= j.ItemTokens(item)
 	w.Finished += j.ItemTokens(item)
 	w.Lowest = min(w.Lowest, w.Tokens)
--- a/domain/joblog/table_test.go
+++ b/domain/joblog/table_test.go
@@ -96,7 +96,7 @@
 			}
 		}
 	})
-	if w := table.Waiting("r"); w.Tokens != waiting || w.Lowest > w.Tokens {
+	if w := table.Waiting(WaitingKey{Route: "r"}); w.Tokens != waiting || w.Lowest > w.Tokens {
 		t.Fatalf("waiting %+v, want %d tokens", w, waiting)
 	}
 	table.ForEachOpen(func(*Job) { open-- })
--- a/domain/serving/request.go
+++ b/domain/serving/request.go
@@ -18,8 +18,25 @@
 	// PromptTokens is the length of the prompt and OutputTokens the maximum length of
 	// the output; zero if not stated.
 	PromptTokens, OutputTokens int64
-	// PromptPrefix holds the IDs of the prompt's segments in order.
-	PromptPrefix []string
+	// Prompt holds the segments of the prompt in order. The last one belongs to the request
+	// itself or to its session; other requests may share the rest.
+	Prompt []PromptSegment
+}
+
+// PromptSegment is a part of a prompt.
+type PromptSegment struct {
+	ID string
+	// Tokens is its length; zero if not stated.
+	Tokens int64
+}
+
+// SegmentIDs returns the IDs of the prompt's segments, for the log.
+func (r *Request) SegmentIDs() []string {
+	ids := make([]string, len(r.Prompt))
+	for i := range r.Prompt {
+		ids[i] = r.Prompt[i].ID
+	}
+	return ids
 }
 
 // Load is the load that a server reports in a response.
--- a/domain/serving/route.go
+++ b/domain/serving/route.go
@@ -4,6 +4,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
 )
 
 // Kind determines how the requests of a route are handled and whether they may be
@@ -66,6 +68,8 @@
 	MaxAttempts int
 	// Resumable streams can be continued on another server after the last event.
 	Resumable bool
+	// Public routes take requests without a key.
+	Public bool
 	// DueAfter is the time from the first submission of a job until all its results
 	// are due.
 	DueAfter time.Duration
@@ -73,7 +77,8 @@
 	// may be abandoned.
 	Retention time.Duration
 	// MaxWaitingTokens limits the tokens of the unfinished items of all jobs on a batch
-	// route, over all instances; zero means no limit.
+	// route, over all instances and, if there are workspaces, by workspace; zero means no
+	// limit.
 	MaxWaitingTokens int64
 }
 
@@ -112,6 +117,10 @@
 	Routes   []*Route
 	Services map[string]*Service
 	Limits   Limits
+	// Workspaces is nil for a configuration without workspaces.
+	Workspaces *workspace.Directory
+	// Problems describes what of the configuration is not used, for the log.
+	Problems []string
 	byHost   map[string][]*Route
 }
 
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -36,6 +36,8 @@
 	// hubTotalName is the peer name in the table for the load of all other instances that
 	// a hub reports. No instance has this name.
 	hubTotalName = ""
+	// maxLoggedProblems limits the log lines about one configuration.
+	maxLoggedProblems = 10
 )
 
 // View is an instance's view of the fleet. It is safe for concurrent use.
@@ -117,7 +119,10 @@
 			return
 		}
 		if v.revision.CompareAndSwap(old, next) {
-			klog.InfoS("configuration in force", "version", next.Version, "routes", len(next.Routes), "services", len(next.Services))
+			klog.InfoS("configuration in force", "version", next.Version, "routes", len(next.Routes), "services", len(next.Services), "workspaces", len(next.Workspaces.All()), "keys", next.Workspaces.Keys())
+			for _, problem := range next.Problems[:min(len(next.Problems), maxLoggedProblems)] {
+				klog.InfoS("part of the configuration ignored", "version", next.Version, "cause", problem)
+			}
 			return
 		}
 	}
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
@@ -82,6 +83,7 @@
 	gateway  *Gateway
 	revision *serving.Revision
 	route    *serving.Route
+	caller   workspace.Caller
 	request  serving.Request
 	writer   http.ResponseWriter
 	incoming *http.Request
@@ -236,9 +238,9 @@
 		query.Left, query.RunTime = time.Until(c.deadline), c.gateway.View.MeanRunTime(c.service)
 	}
 	for {
-		lease, ok := c.gateway.Placer.Place(query)
+		lease, rejection := c.gateway.Placer.Place(query)
 		reason := "no server is left"
-		if ok {
+		if rejection == nil {
 			if reason = c.excessiveWait(lease); reason == "" {
 				return lease, ""
 			}
@@ -422,7 +424,7 @@
 	c.gateway.Metrics.count("attempt_failed")
 	klog.InfoS("attempt failed", "id", c.request.ID, "server", lease.Server.ID, "outcome", outcome, "busy", lease.InFlight,
 		"slots", lease.Slots, "serversAge", c.gateway.View.ServersAge(), "lastEvent", c.lastEvent, "events", c.progress.events,
-		"promptParts", c.request.PromptPrefix, "err", err)
+		"promptParts", c.request.SegmentIDs(), "err", err)
 }
 
 // serverRequest builds the request for one server with the headers of this attempt.
@@ -434,6 +436,7 @@
 	}
 	resumes := c.request.IsResume || c.headerWritten
 	c.gateway.Protocol.SetAttemptHeaders(h, server, left, c.lastEvent, resumes)
+	c.gateway.Protocol.SetWorkspace(h, c.caller.Name())
 	r := &exchange.Request{
 		Method: c.incoming.Method, Target: c.incoming.RequestURI, Host: c.incoming.Host, Header: h, Body: c.body, ID: c.request.ID,
 	}
--- a/node/gateway/fakes_test.go
+++ b/node/gateway/fakes_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/origin"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
@@ -38,7 +39,9 @@
 	}
 	r.Resumes = h.Get("Resumes")
 	if v := h.Get("Parts"); v != "" {
-		r.PromptPrefix = strings.Split(v, ",")
+		for _, id := range strings.Split(v, ",") {
+			r.Prompt = append(r.Prompt, serving.PromptSegment{ID: id})
+		}
 	}
 	return r
 }
@@ -55,6 +58,13 @@
 	return serving.Response{RequestID: h.Get("Id"), NotRun: h.Get("Refused") != "", Signed: h.Get("Signature") != "", Leaving: h.Get("Leaving") != "", Server: h.Get("Server-Id")}
 }
 
+func (protocol) CallerKey(h http.Header) string { return h.Get("Key") }
+
+func (protocol) SetWorkspace(h http.Header, workspace string) {
+	h.Del("Key")
+	h.Set("Workspace", workspace)
+}
+
 func (protocol) SetRetryAfter(h http.Header, after time.Duration) {
 	h.Set("Come-Back", strconv.FormatInt(after.Milliseconds(), 10))
 }
@@ -62,12 +72,20 @@
 // noJobs handles no calls.
 type noJobs struct{}
 
-func (noJobs) Serve(http.ResponseWriter, *http.Request, *serving.Route) bool { return false }
+func (noJobs) Serve(http.ResponseWriter, *http.Request, *serving.Route, workspace.Caller) bool {
+	return false
+}
 
 // localPlacer places requests by the view of one instance.
 type localPlacer struct{ view *fleet.View }
 
-func (p localPlacer) Place(q balance.Query) (*fleet.Lease, bool) { return p.view.Pick(q) }
+func (p localPlacer) Place(q balance.Query) (*fleet.Lease, *balance.Rejection) {
+	lease, ok := p.view.Pick(q)
+	if !ok {
+		return nil, &balance.Rejection{}
+	}
+	return lease, nil
+}
 
 // localContainment tracks the failures that one instance sees. Its clock advances by a second
 // with each of them.
--- a/node/gateway/faulty_test.go
+++ b/node/gateway/faulty_test.go
@@ -264,7 +264,7 @@
 	count int
 }
 
-func (p *panicPlacer) Place(q balance.Query) (*fleet.Lease, bool) {
+func (p *panicPlacer) Place(q balance.Query) (*fleet.Lease, *balance.Rejection) {
 	p.mu.Lock()
 	p.count++
 	n := p.count
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/origin"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/budget"
@@ -34,6 +35,11 @@
 	SetAttemptHeaders(h http.Header, server string, left time.Duration, resumeAfter int64, resumes bool)
 	// ParseResponse decodes the headers of a server's response.
 	ParseResponse(status int, h http.Header) serving.Response
+	// CallerKey returns the key of a caller's request; empty if it has none.
+	CallerKey(h http.Header) string
+	// SetWorkspace sets the header of a request to a server that names the workspace, or
+	// removes it if the name is empty, and removes the caller's key.
+	SetWorkspace(h http.Header, workspace string)
 	// SetRetryAfter sets the delay after which the caller may retry.
 	SetRetryAfter(h http.Header, retryAfter time.Duration)
 }
@@ -41,14 +47,14 @@
 // Jobs handles the calls of the batch job API.
 type Jobs interface {
 	// Serve answers a call about batch jobs. It returns false, without a response, for
-	// any other call.
-	Serve(w http.ResponseWriter, r *http.Request, route *serving.Route) bool
+	// any other call. It decides itself what a caller without a known key may do.
+	Serve(w http.ResponseWriter, r *http.Request, route *serving.Route, caller workspace.Caller) bool
 }
 
 // Placer picks the server for a request and counts the request in flight there.
 type Placer interface {
-	// Place returns false if no server can take the request.
-	Place(q balance.Query) (*fleet.Lease, bool)
+	// Place returns no lease, but the reason, if the request gets no server.
+	Place(q balance.Query) (*fleet.Lease, *balance.Rejection)
 }
 
 // Containment blocks the requests that crash the servers that run them.
@@ -133,6 +139,9 @@
 	blockedRetryAfter = time.Minute
 )
 
+// causeUnknownKey is the cause of the refusal of a request without a known key.
+const causeUnknownKey = "a known key is required"
+
 // ServeHTTP implements http.Handler. A panic ends the request alone.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer func() {
@@ -155,12 +164,18 @@
 	}
 	revision := g.View.Revision()
 	route := revision.Match(Host(r), r.URL.EscapedPath())
-	if (route == nil || route.Kind == serving.Batch) && g.Jobs.Serve(w, r, route) {
+	caller := revision.Workspaces.Identify(g.Protocol.CallerKey(r.Header))
+	if (route == nil || route.Kind == serving.Batch) && g.Jobs.Serve(w, r, route, caller) {
 		return
 	}
-	if route == nil {
+	switch {
+	case route == nil:
 		g.reject(w, request.ID, http.StatusNotFound, 0, "no route")
 		return
+	case caller.Unknown() && !route.Public:
+		g.Metrics.count("unknown_key")
+		g.reject(w, request.ID, http.StatusUnauthorized, 0, causeUnknownKey)
+		return
 	}
 	deadline := requestDeadline(arrived, request.CallerTimeout, route.Timeout)
 	body, ok := g.readBody(w, r, request.ID, revision.Limits.BodyBytes, deadline)
@@ -168,14 +183,14 @@
 		return
 	}
 	c := &call{
-		gateway: g, route: route, revision: revision, request: request, writer: w, incoming: r, body: body,
+		gateway: g, route: route, caller: caller, revision: revision, request: request, writer: w, incoming: r, body: body,
 		arrived: arrived, deadline: deadline, tried: map[string]bool{},
 	}
 	c.lastEvent = request.ResumeAfter
 	c.subjects = poison.Request{Whole: fingerprint(r, body), Parts: SharedParts(&request)}
 	if g.Containment.Blocked(c.subjects) {
 		g.Metrics.count("blocked")
-		klog.InfoS("request blocked", "id", request.ID, "promptParts", request.PromptPrefix)
+		klog.InfoS("request blocked", "id", request.ID, "promptParts", request.SegmentIDs())
 		g.reject(w, request.ID, http.StatusServiceUnavailable, blockedRetryAfter, causeBlocked)
 		return
 	}
@@ -264,12 +279,21 @@
 // the last one.
 func SharedParts(request *serving.Request) []poison.Subject {
 	var parts []poison.Subject
-	for i := range len(request.PromptPrefix) - 1 {
-		parts = append(parts, poison.Subject(xxhash.Sum64String("part\x00"+request.PromptPrefix[i])))
+	for i := range len(request.Prompt) - 1 {
+		parts = append(parts, poison.Subject(xxhash.Sum64String("part\x00"+request.Prompt[i].ID)))
 	}
 	return parts
 }
 
+// PromptSegments returns the segments of a request's prompt as the placement knows them.
+func PromptSegments(request *serving.Request) []balance.PromptSegment {
+	segments := make([]balance.PromptSegment, len(request.Prompt))
+	for i, s := range request.Prompt {
+		segments[i] = balance.PromptSegment{Segment: uint32(xxhash.Sum64String(s.ID)), Tokens: s.Tokens}
+	}
+	return segments
+}
+
 // Host returns the request's host without a port.
 func Host(r *http.Request) string {
 	if name, _, err := net.SplitHostPort(r.Host); err == nil {
--- a/node/jobs/admission.go
+++ b/node/jobs/admission.go
@@ -29,8 +29,8 @@
 // observe passes the sums of all routes to the table after a read up to the end of the index.
 func (a *admissions) observe(now time.Time, t *joblog.Table) {
 	isKnown := func(job string) bool { return t.Job(job) != nil }
-	t.WaitingByRoute(func(route string, w joblog.Waiting) {
-		a.table.Observe(now, quota.Key{Route: route}, toSum(w), isKnown)
+	t.ForEachWaiting(func(k joblog.WaitingKey, w joblog.Waiting) {
+		a.table.Observe(now, quota.Key{Route: k.Route, Workspace: k.Workspace}, toSum(w), isKnown)
 	})
 	t.ResetLowest()
 }
@@ -77,7 +77,7 @@
 	return x.store.AppendAt(ctx, indexPartition, offset, [][]byte{raw})
 }
 
-// WaitingMetrics returns the sums of waiting tokens by route, with their age.
+// WaitingMetrics returns the sums of waiting tokens by route, over all workspaces, with their age.
 func (x *Index) WaitingMetrics() expvar.Func {
 	type waiting struct {
 		Tokens int64 `json:"tokens"`
@@ -88,8 +88,8 @@
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		routes := map[string]waiting{}
-		x.table.WaitingByRoute(func(route string, w joblog.Waiting) {
-			routes[route] = waiting{w.Tokens, now.Sub(x.currentAt).Milliseconds()}
+		x.table.ForEachWaiting(func(k joblog.WaitingKey, w joblog.Waiting) {
+			routes[k.Route] = waiting{routes[k.Route].Tokens + w.Tokens, now.Sub(x.currentAt).Milliseconds()}
 		})
 		return routes
 	}
--- a/node/jobs/admission_test.go
+++ b/node/jobs/admission_test.go
@@ -38,7 +38,7 @@
 		t.Fatal(err)
 	}
 	tokens := int64(0)
-	i.index.Read(func(table *joblog.Table) { tokens = table.Waiting("batch").Tokens })
+	i.index.Read(func(table *joblog.Table) { tokens = table.Waiting(joblog.WaitingKey{Route: "batch"}).Tokens })
 	return tokens
 }
 
--- a/node/jobs/fixture_test.go
+++ b/node/jobs/fixture_test.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/domain/origin"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/jobs"
@@ -71,6 +72,13 @@
 	}, kind != 0
 }
 
+func (protocol) CallerKey(h http.Header) string { return h.Get("Key") }
+
+func (protocol) SetWorkspace(h http.Header, workspace string) {
+	h.Del("Key")
+	h.Set("Workspace", workspace)
+}
+
 // resultPage is the test's encoding of results.
 type resultPage struct {
 	Total   int
@@ -109,9 +117,13 @@
 
 type localPlacer struct{ view *fleet.View }
 
-func (p localPlacer) Place(q balance.Query) (*fleet.Lease, bool) {
+func (p localPlacer) Place(q balance.Query) (*fleet.Lease, *balance.Rejection) {
 	q.CompleteView = true
-	return p.view.Pick(q)
+	lease, ok := p.view.Pick(q)
+	if !ok {
+		return nil, &balance.Rejection{}
+	}
+	return lease, nil
 }
 
 // modelServer is a model server that responds with the output of the item.
@@ -197,6 +209,8 @@
 	// maxWaitingTokens is the limit on waiting tokens of the route at instances that are
 	// started later.
 	maxWaitingTokens int64
+	// workspaces is nil if callers need no keys.
+	workspaces *workspace.Directory
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -291,7 +305,9 @@
 		StorePath: i, Index: i.index, Blobs: blobs, Runner: i.runner, Codec: protocol{}, Revision: view.Revision, Self: i.runner.Self,
 		Refuse: func(w http.ResponseWriter, status int, _ time.Duration, cause string) { http.Error(w, cause, status) },
 	}
-	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { service.Serve(w, r, route) }))
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		service.Serve(w, r, route, s.workspaces.Identify(protocol{}.CallerKey(r.Header)))
+	}))
 	i.url = front.URL
 	s.members.set(name, incarnation)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -239,6 +239,7 @@
 	}
 	r.Codec.SetRequestID(h, item.ID)
 	r.Protocol.SetAttemptHeaders(h, server, 0, run.lastEvent, run.hasOutput)
+	r.Protocol.SetWorkspace(h, accepted.Workspace)
 	return &exchange.Request{Method: http.MethodPost, Target: item.Path, Host: accepted.Host, Header: h, Body: item.Body, ID: item.ID}
 }
 
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -210,8 +210,8 @@
 		// The lock is not held because Place may call another instance.
 		query := balance.Query{Service: service, Class: balance.Batch, Headroom: onlineHeadroom, Slack: c.slack}
 		bound := r.bindToOrigin(now, c, &query)
-		lease, ok := r.Placer.Place(query)
-		if !ok {
+		lease, rejection := r.Placer.Place(query)
+		if rejection != nil {
 			full[service] = !bound
 			continue
 		}
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/policy/pathselect"
@@ -60,6 +61,13 @@
 	Self joblog.Holder
 }
 
+// causeUnknownKey is the cause of the refusal of a call without a known key.
+const causeUnknownKey = "a known key is required"
+
+// causeNoJob is the cause of the refusal of a call about a job that does not exist, or not for the
+// caller.
+const causeNoJob = "no such job"
+
 // causeClosed is the cause of the refusal of a call that could be cut off.
 const causeClosed = "the instance is about to stop"
 
@@ -75,12 +83,16 @@
 
 // Serve serves a call about jobs. It returns false, without a response, if the request is
 // not such a call.
-func (s *Service) Serve(w http.ResponseWriter, r *http.Request, route *serving.Route) bool {
+func (s *Service) Serve(w http.ResponseWriter, r *http.Request, route *serving.Route, caller workspace.Caller) bool {
 	call, ok := s.Codec.ParseCall(r, route != nil)
 	if !ok {
 		return false
 	}
+	call.Caller = caller
 	switch {
+	case call.Kind == Submit && call.Caller.Unknown() && !route.Public:
+		s.refuse(w, call, http.StatusUnauthorized, causeUnknownKey, nil)
+		return true
 	case call.Kind == Submit:
 		s.handleSubmit(w, r, call, route)
 		return true
@@ -126,8 +138,25 @@
 	return job, changed, current
 }
 
-// findJob returns a job, or nil if a read of the index confirms that it does not exist.
-func (s *Service) findJob(ctx context.Context, id string) (*joblog.Job, error) {
+// findJob returns a job that the caller may access, or nil after it has refused the call. To a
+// caller of another workspace a job does not exist.
+func (s *Service) findJob(w http.ResponseWriter, r *http.Request, call Call) *joblog.Job {
+	job, err := s.confirmJob(r.Context(), call.Job)
+	switch {
+	case call.Caller.Unknown() && (job == nil || job.Workspace != ""):
+		s.refuse(w, call, http.StatusUnauthorized, causeUnknownKey, nil)
+	case err != nil:
+		s.refuse(w, call, http.StatusServiceUnavailable, "the store cannot be read", err)
+	case job == nil, !job.AccessibleTo(call.Caller.Name()):
+		s.refuse(w, call, http.StatusNotFound, causeNoJob, nil)
+	default:
+		return job
+	}
+	return nil
+}
+
+// confirmJob returns a job, or nil if a read of the index confirms that it does not exist.
+func (s *Service) confirmJob(ctx context.Context, id string) (*joblog.Job, error) {
 	if job, _, _ := s.lookUp(id); job != nil {
 		return job, nil
 	}
@@ -165,6 +194,10 @@
 	}
 	_ = controller.SetReadDeadline(time.Time{})
 	if job, _, _ := s.lookUp(call.Job); job != nil {
+		if !job.AccessibleTo(call.Caller.Name()) {
+			s.refuse(w, call, http.StatusConflict, "the id is that of another job", nil)
+			return
+		}
 		klog.InfoS("job submitted again", "job", call.Job, "acceptedBy", job.Instance)
 		w.WriteHeader(http.StatusAccepted)
 		return
@@ -190,7 +223,7 @@
 	// The outcome does not depend on whether the caller stays connected.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), storeWriteTimeout)
 	defer cancel()
-	job := newLimitedJob(call.Job, route, items)
+	job := newLimitedJob(call, route, items)
 	if job.limit > 0 {
 		if refused := s.checkLimit(ctx, job); refused != nil {
 			s.writeRefusal(w, call, refused)
@@ -224,11 +257,11 @@
 	return nil
 }
 
-// newLimitedJob returns a job with the limit of its route.
-func newLimitedJob(id string, route *serving.Route, items []Item) limitedJob {
-	job := limitedJob{id: id}
+// newLimitedJob returns a job with the limit of its route, which counts by workspace.
+func newLimitedJob(call Call, route *serving.Route, items []Item) limitedJob {
+	job := limitedJob{id: call.Job}
 	if route != nil {
-		job.key, job.limit = quota.Key{Route: route.Name}, route.MaxWaitingTokens
+		job.key, job.limit = quota.Key{Route: route.Name, Workspace: call.Caller.Name()}, route.MaxWaitingTokens
 	}
 	for i := range items {
 		job.tokens += max(0, items[i].Tokens)
@@ -256,7 +289,7 @@
 	}
 	return &joblog.Accepted{
 		Revision: s.revisionVersion(), Tokens: tokens, At: time.Now().UnixMilli(), Job: call.Job, Host: gateway.Host(r), Path: r.URL.EscapedPath(), Items: len(items), Content: extents[0],
-		Holder: s.Self,
+		Workspace: call.Caller.Name(), Holder: s.Self,
 	}, nil
 }
 
@@ -306,14 +339,8 @@
 	defer deadline.Stop()
 	for timedOut := false; ; {
 		job, changed, current := s.lookUp(call.Job)
-		if job == nil {
-			var err error
-			if job, err = s.findJob(r.Context(), call.Job); err != nil {
-				s.refuse(w, call, http.StatusServiceUnavailable, "the store cannot be read", err)
-				return
-			}
-			if job == nil {
-				s.refuse(w, call, http.StatusNotFound, "no such job", nil)
+		if job == nil || !job.AccessibleTo(call.Caller.Name()) {
+			if s.findJob(w, r, call) == nil {
 				return
 			}
 			continue
@@ -398,13 +425,12 @@
 }
 
 func (s *Service) handleReadItem(w http.ResponseWriter, r *http.Request, call Call) {
-	job, err := s.findJob(r.Context(), call.Job)
-	switch {
-	case err != nil:
-		s.refuse(w, call, http.StatusServiceUnavailable, "the store cannot be read", err)
+	job := s.findJob(w, r, call)
+	if job == nil {
 		return
-	case job == nil || job.Ended:
-		s.refuse(w, call, http.StatusNotFound, "no such job, or it is ended", nil)
+	}
+	if job.Ended {
+		s.refuse(w, call, http.StatusNotFound, "the job is ended", nil)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), storeReadTimeout)
@@ -426,13 +452,8 @@
 }
 
 func (s *Service) handleEnd(w http.ResponseWriter, r *http.Request, call Call) {
-	job, err := s.findJob(r.Context(), call.Job)
-	switch {
-	case err != nil:
-		s.refuse(w, call, http.StatusServiceUnavailable, "the store cannot be read", err)
-		return
-	case job == nil:
-		s.refuse(w, call, http.StatusNotFound, "no such job", nil)
+	job := s.findJob(w, r, call)
+	if job == nil {
 		return
 	}
 	if !job.Ended {
--- a/node/jobs/submission.go
+++ b/node/jobs/submission.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
 )
 
 // Item is one request of a job.
@@ -43,6 +45,8 @@
 	// the call may wait for a result at this position.
 	After int
 	Wait  time.Duration
+	// Caller is who makes the call.
+	Caller workspace.Caller
 }
 
 // ItemResult is the result of an item as it is returned to callers.
--- a/node/peers/announce.go
+++ b/node/peers/announce.go
@@ -51,6 +51,7 @@
 			p.Cores, g.order = e.Value.Cores, nil
 		}
 		p.DataCentre = e.Value.DataCentre
+		p.protocol = e.Value.Protocol
 	}
 }
 
@@ -113,7 +114,7 @@
 }
 
 func (g *Group) announce(ctx context.Context) error {
-	entry := &Instance{Address: g.opt.Listen, DataCentre: g.opt.DataCentre, Cores: g.opt.Cores, Incarnation: g.opt.Incarnation}
+	entry := &Instance{Address: g.opt.Listen, DataCentre: g.opt.DataCentre, Cores: g.opt.Cores, Incarnation: g.opt.Incarnation, Protocol: currentProtocol}
 	return g.opt.Feed.Put(ctx, g.opt.Name, entry)
 }
 
--- a/node/peers/departure_test.go
+++ b/node/peers/departure_test.go
@@ -17,7 +17,7 @@
 		for i, n := range []*node{nodes[1], hubOf(nodes, nodes[0])} {
 			time.Sleep(time.Duration(i) * 2 * time.Second)
 			for range 50 {
-				lease, ok := n.group.Place(balance.Query{Service: "svc", Class: balance.Online})
+				lease, ok := n.place(balance.Query{Service: "svc", Class: balance.Online})
 				switch {
 				case !ok || lease.Server.ID == leaving:
 					t.Fatalf("%s has no server or picks the one that leaves, %s", n.name, leaving)
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -314,13 +314,28 @@
 	return true
 }
 
-// onServerRequest picks a server for a peer's request and replies with a grant.
+// onServerRequest picks a server for a request of a peer that does not know placement requests,
+// and replies with a grant.
 func (g *Group) onServerRequest(request *serverRequest, from netip.AddrPort) {
-	q := balance.Query{
-		Service: request.Service, Class: request.Class, AtMostOnce: request.AtMostOnce, Headroom: request.Headroom, DataCentre: request.DataCentre, CompleteView: true,
-		Slack: time.Duration(request.SlackMs) * time.Millisecond, Requester: request.Name,
-		Left: time.Duration(request.LeftMs) * time.Millisecond, RunTime: time.Duration(request.RunMs) * time.Millisecond,
+	choice, rejection := g.placeForPeer(request, request.query(), from)
+	reply := &grant{Sequence: request.Sequence}
+	if rejection == nil {
+		reply.Server = hash(choice.Server.ID)
 	}
+	g.send(kindGrant, reply, from)
+	g.preemptFor(request, choice)
+}
+
+// onPlacementRequest picks a server for a peer's request and replies with a placement.
+func (g *Group) onPlacementRequest(request *placementRequest, from netip.AddrPort) {
+	choice, rejection := g.placeForPeer(&request.Request, request.query(), from)
+	g.send(kindPlacement, newPlacement(request.Request.Sequence, choice, rejection), from)
+	g.preemptFor(&request.Request, choice)
+}
+
+// placeForPeer picks a server for a peer's request and counts the request there. The choice has
+// no server if there is a rejection.
+func (g *Group) placeForPeer(request *serverRequest, q balance.Query, from netip.AddrPort) (balance.Choice, *balance.Rejection) {
 	if len(request.Avoid) > 0 {
 		q.Tried = map[string]bool{}
 		for _, h := range request.Avoid {
@@ -332,17 +347,19 @@
 	g.recordHeard(request.Name, from)
 	warm := g.hub.warm(now)
 	g.mu.Unlock()
-	reply := &grant{Sequence: request.Sequence}
-	var choice balance.Choice
-	ok := warm || request.Class != balance.Batch
-	if ok {
-		choice, ok = g.opt.View.PickForPeer(request.Name, request.Sequence, q)
+	if !warm && request.Class == balance.Batch {
+		return balance.Choice{}, &balance.Rejection{}
 	}
-	if ok {
-		reply.Server = hash(choice.Server.ID)
+	choice, ok := g.opt.View.PickForPeer(request.Name, request.Sequence, q)
+	if !ok {
+		return balance.Choice{}, &balance.Rejection{}
 	}
-	g.send(kindGrant, reply, from)
-	if ok && choice.Preempt && request.Class == balance.Online {
+	return choice, nil
+}
+
+// preemptFor preempts a batch request for a peer's request, if its choice needs that.
+func (g *Group) preemptFor(request *serverRequest, choice balance.Choice) {
+	if choice.Server != nil && choice.Preempt && request.Class == balance.Online {
 		g.preempt(&preemption{Requester: hash(request.Name), Sequence: request.Sequence}, choice.Server.ID)
 	}
 }
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -38,6 +38,8 @@
 	kindOrigins
 	kindOriginQuestion
 	kindOriginReply
+	kindPlacementRequest
+	kindPlacement
 )
 
 // Versions of the protocol between instances. An instance states the version that it
@@ -46,7 +48,9 @@
 	// protocolRosters is the first version that knows rosters and totals instead of hub
 	// reports.
 	protocolRosters = 1
-	currentProtocol = protocolRosters
+	// protocolPlacements is the first version whose hubs answer placement requests.
+	protocolPlacements = 2
+	currentProtocol    = protocolPlacements
 )
 
 // loadReport reports the load of one instance to a hub.
@@ -185,6 +189,34 @@
 	LeftMs, RunMs int64
 }
 
+// placementRequest asks a hub that knows protocolPlacements for a server for one request. It
+// and placement are maps, to which fields may be added.
+type placementRequest struct {
+	Request   serverRequest `cbor:"0,keyasint"`
+	Workspace string        `cbor:"1,keyasint,omitempty"`
+	Priority  int           `cbor:"2,keyasint,omitempty"`
+	// Prompt holds the prompt's segments in order.
+	Prompt       []promptSegment `cbor:"3,keyasint,omitempty"`
+	PromptTokens int64           `cbor:"4,keyasint,omitempty"`
+	OutputTokens int64           `cbor:"5,keyasint,omitempty"`
+}
+
+// promptSegment is a segment of a prompt.
+type promptSegment struct {
+	_       struct{} `cbor:",toarray"`
+	Segment uint32
+	Tokens  int64
+}
+
+// placement is a hub's reply to a placementRequest; Server is zero if the request gets none, for
+// the reason Reason.
+type placement struct {
+	Sequence     uint64 `cbor:"1,keyasint"`
+	Server       uint32 `cbor:"2,keyasint,omitempty"`
+	Reason       uint8  `cbor:"3,keyasint,omitempty"`
+	RetryAfterMs int64  `cbor:"4,keyasint,omitempty"`
+}
+
 // grant is a hub's reply to a serverRequest; Server is zero if no server is available.
 type grant struct {
 	_        struct{} `cbor:",toarray"`
@@ -249,6 +281,47 @@
 	Suspected []poison.Subject
 }
 
+// query returns the query of a request for a server, which is decided with a complete view.
+func (r *serverRequest) query() balance.Query {
+	return balance.Query{
+		Service: r.Service, Class: r.Class, AtMostOnce: r.AtMostOnce, Headroom: r.Headroom, DataCentre: r.DataCentre, CompleteView: true,
+		Slack: time.Duration(r.SlackMs) * time.Millisecond, Requester: r.Name,
+		Left: time.Duration(r.LeftMs) * time.Millisecond, RunTime: time.Duration(r.RunMs) * time.Millisecond,
+	}
+}
+
+// query returns the query of a placement request.
+func (r *placementRequest) query() balance.Query {
+	q := r.Request.query()
+	q.Workspace, q.Priority, q.PromptTokens, q.OutputTokens = r.Workspace, r.Priority, r.PromptTokens, r.OutputTokens
+	for _, s := range r.Prompt {
+		q.Prompt = append(q.Prompt, balance.PromptSegment{Segment: s.Segment, Tokens: s.Tokens})
+	}
+	return q
+}
+
+// newPlacementRequest returns the placement request of a query.
+func newPlacementRequest(request *serverRequest, q *balance.Query) *placementRequest {
+	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens}
+	for _, s := range q.Prompt {
+		r.Prompt = append(r.Prompt, promptSegment{Segment: s.Segment, Tokens: s.Tokens})
+	}
+	return r
+}
+
+// newPlacement returns the reply to a placement request.
+func newPlacement(sequence uint64, choice balance.Choice, rejection *balance.Rejection) *placement {
+	if rejection != nil {
+		return &placement{Sequence: sequence, Reason: uint8(rejection.Reason), RetryAfterMs: rejection.RetryAfter.Milliseconds()}
+	}
+	return &placement{Sequence: sequence, Server: hash(choice.Server.ID)}
+}
+
+// rejection returns the reason for which the request gets no server.
+func (p *placement) rejection() *balance.Rejection {
+	return &balance.Rejection{Reason: balance.Reason(p.Reason), RetryAfter: time.Duration(p.RetryAfterMs) * time.Millisecond}
+}
+
 // hash returns the hash that stands for the id of a server or the name of an instance in
 // datagrams. Two with the same hash share their figures, which only makes the load less
 // balanced.
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -25,6 +25,8 @@
 	Cores float64 `json:"cores"`
 	// Incarnation changes each time the instance starts.
 	Incarnation uint32 `json:"incarnation"`
+	// Protocol is the version of the protocol between instances that it speaks.
+	Protocol uint8 `json:"protocol,omitempty"`
 }
 
 const (
@@ -87,7 +89,7 @@
 	// livenessCheckedAt is the time of the last check of the peers.
 	livenessCheckedAt time.Time
 	// pending holds the requests to hubs that have no reply yet, by sequence number.
-	pending map[uint64]chan grant
+	pending map[uint64]chan placement
 	servers serverList
 	// origins holds the questions about the origins of streams.
 	origins originQuestions
@@ -113,7 +115,7 @@
 	}
 	g := &Group{
 		opt: opt, conn: opt.Conn, wakeups: make(chan struct{}, 1), peers: map[string]*peer{}, peersByHash: map[uint32]*peer{},
-		pending: map[uint64]chan grant{}, preemptions: newPreemptionLog(),
+		pending: map[uint64]chan placement{}, preemptions: newPreemptionLog(),
 		origins: newOriginQuestions(), containment: newContainment(opt.Name),
 	}
 	opt.View.NotifyLoadChanges(g.wake)
@@ -162,6 +164,10 @@
 		return handle(raw, from, g.onServerRequest)
 	case kindGrant:
 		return handle(raw, from, g.onGrant)
+	case kindPlacementRequest:
+		return handle(raw, from, g.onPlacementRequest)
+	case kindPlacement:
+		return handle(raw, from, g.onPlacement)
 	case kindRequestOutcome:
 		return handle(raw, from, func(o *requestOutcome, _ netip.AddrPort) { g.onOutcome(o) })
 	case kindBrokenRun:
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -196,9 +196,15 @@
 	counts map[string]int
 }
 
+// place places a request of a node.
+func (n *node) place(q balance.Query) (*fleet.Lease, bool) {
+	lease, rejection := n.group.Place(q)
+	return lease, rejection == nil
+}
+
 // place places a batch request of a node at once and holds its slot.
 func (l *placedLoad) place(n *node) (*fleet.Lease, bool) {
-	lease, ok := n.group.Place(balance.Query{Service: "svc", Class: balance.Batch})
+	lease, ok := n.place(balance.Query{Service: "svc", Class: balance.Batch})
 	if ok {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -284,7 +290,7 @@
 		for range 2 {
 			var lease *fleet.Lease
 			waitFor(t, "no slot for a batch request", func() (ok bool) {
-				lease, ok = nodes[0].group.Place(balance.Query{Service: "svc", Class: balance.Batch})
+				lease, ok = nodes[0].place(balance.Query{Service: "svc", Class: balance.Batch})
 				return ok
 			})
 			nodes[0].mu.Lock()
@@ -292,7 +298,7 @@
 			nodes[0].mu.Unlock()
 		}
 		time.Sleep(maxReportInterval) // the hubs learn which instance has the batch requests
-		if _, ok := nodes[1].group.Place(balance.Query{Service: "svc"}); !ok {
+		if _, ok := nodes[1].place(balance.Query{Service: "svc"}); !ok {
 			t.Fatal("no server for an online request")
 		}
 		waitFor(t, "no batch request is preempted", func() bool { return nodes[0].preemptions() > 0 })
@@ -361,15 +367,15 @@
 			if n == lost {
 				continue
 			}
-			if _, ok := n.group.Place(balance.Query{Service: "svc"}); !ok {
+			if _, ok := n.place(balance.Query{Service: "svc"}); !ok {
 				t.Fatalf("%s finds no server", n.name)
 			}
 			waitFor(t, n.name+" does not detect the loss of the hub", func() bool { return len(n.group.Alive()) == 1 })
-			if _, ok := n.group.Place(balance.Query{Service: "svc"}); !ok {
+			if _, ok := n.place(balance.Query{Service: "svc"}); !ok {
 				t.Fatalf("%s finds no server with another hub", n.name)
 			}
 			waitFor(t, n.name+" places no batch request with another hub", func() bool {
-				_, ok := n.group.Place(balance.Query{Service: "svc", Class: balance.Batch})
+				_, ok := n.place(balance.Query{Service: "svc", Class: balance.Batch})
 				return ok
 			})
 		}
@@ -481,6 +487,7 @@
 		reflect.TypeFor[liveInstance]():      3,
 		reflect.TypeFor[serverRequest]():     11,
 		reflect.TypeFor[grant]():             2,
+		reflect.TypeFor[promptSegment]():     2,
 		reflect.TypeFor[preemption]():        3,
 		reflect.TypeFor[requestOutcome]():    3,
 		reflect.TypeFor[rosterReport]():      6,
@@ -501,7 +508,7 @@
 func FuzzReceive(f *testing.F) {
 	for k, body := range map[kind]any{
 		kindLoadReport: &loadReport{Name: "n", Loads: []load{{Server: 1, Online: 2}}}, kindHubReport: &hubReport{Name: "n", LiveInstances: []liveInstance{{Name: 1}}},
-		kindServerRequest: &serverRequest{Name: "n", Service: "svc", Avoid: []uint32{1}}, kindGrant: &grant{Sequence: 1}, kindPreemption: &preemption{Server: 1},
+		kindServerRequest: &serverRequest{Name: "n", Service: "svc", Avoid: []uint32{1}}, kindGrant: &grant{Sequence: 1}, kindPlacementRequest: &placementRequest{Request: serverRequest{Name: "n", Service: "svc"}, Prompt: []promptSegment{{Segment: 1, Tokens: 2}}}, kindPlacement: &placement{Sequence: 1, Server: 2}, kindPreemption: &preemption{Server: 1},
 		kindRoster: &rosterReport{Name: "n", Full: true, Changes: []rosterChange{{Instance: liveInstance{Name: 1}}}}, kindRosterRequest: &rosterRequest{Name: "n"},
 		kindTotals: &totals{Name: "n", Packed: []byte{1}}, kindRequestOutcome: &requestOutcome{Whole: 1}, kindAnswer: &answer{Subject: 1}, kindRates: &rateReport{Name: "n", Servers: []serverRate{{Server: 1, Limit: 2}}},
 		kindBrokenRun:   &brokenRun{Server: 1, Whole: 2, Parts: []poison.Subject{3}, Answered: []answer{{Subject: 4}}},
--- a/node/peers/place.go
+++ b/node/peers/place.go
@@ -21,45 +21,56 @@
 )
 
 // Place picks a server for a request and counts the request in flight there. The hub picks
-// the server if it replies in time, otherwise this instance does. Place returns false if no
-// server can take the request.
-func (g *Group) Place(q balance.Query) (*fleet.Lease, bool) {
+// the server if it replies in time, otherwise this instance does. Place returns no lease, but
+// the reason, if the request gets no server.
+func (g *Group) Place(q balance.Query) (*fleet.Lease, *balance.Rejection) {
 	q.DataCentre, q.Requester = g.opt.DataCentre, g.opt.Name
 	hub, self, warm := g.currentHub()
 	switch {
 	case self && q.Class == balance.Batch && !warm:
-		return nil, false
+		return nil, &balance.Rejection{}
 	case self:
 		return g.placeAsHub(q)
 	case hub != nil:
-		if lease := g.askHub(hub, q); lease != nil {
-			return lease, true
+		lease, rejection := g.askHub(hub, q)
+		if lease != nil || rejection != nil && rejection.Reason != balance.NoServer {
+			return lease, rejection
 		}
 	}
 	if q.Class == balance.Batch {
 		// No slot is free, or no hub has replied. Only a hub knows which slots are granted, so
 		// the request waits until another instance is the hub, a few seconds at most.
-		return nil, false
+		return nil, &balance.Rejection{}
 	}
 	q.Instances = len(g.Alive()) + 1
-	return g.opt.View.Pick(q)
+	return g.pick(q)
+}
+
+// pick picks a server by this instance's own view.
+func (g *Group) pick(q balance.Query) (*fleet.Lease, *balance.Rejection) {
+	lease, ok := g.opt.View.Pick(q)
+	if !ok {
+		return nil, &balance.Rejection{}
+	}
+	return lease, nil
 }
 
 // placeAsHub picks a server for a request of this instance, which is the hub.
-func (g *Group) placeAsHub(q balance.Query) (*fleet.Lease, bool) {
+func (g *Group) placeAsHub(q balance.Query) (*fleet.Lease, *balance.Rejection) {
 	q.CompleteView = true
-	lease, ok := g.opt.View.Pick(q)
-	if ok {
-		lease.Picker = g.opt.Name
+	lease, rejection := g.pick(q)
+	if rejection != nil {
+		return nil, rejection
 	}
-	if ok && lease.Preempt && q.Class == balance.Online {
+	lease.Picker = g.opt.Name
+	if lease.Preempt && q.Class == balance.Online {
 		g.mu.Lock()
 		g.lastSequence++
 		order := &preemption{Requester: hash(g.opt.Name), Sequence: g.lastSequence}
 		g.mu.Unlock()
 		g.preempt(order, lease.Server.ID)
 	}
-	return lease, ok
+	return lease, nil
 }
 
 // currentHub returns the hub to ask, or nil if there is none. If this instance itself is the
@@ -73,44 +84,50 @@
 	return hub, self, g.hub.warm(now)
 }
 
-// askHub asks a hub for a server. It returns no lease if the hub has no server for the
-// request, picks one that this instance would not use, or does not reply.
-func (g *Group) askHub(hub *peer, q balance.Query) *fleet.Lease {
+// askHub asks a hub for a server. It returns no lease, and the reason if the hub gave one, if the
+// hub has no server for the request, picks one that this instance would not use, or does not
+// reply.
+func (g *Group) askHub(hub *peer, q balance.Query) (*fleet.Lease, *balance.Rejection) {
 	var avoid []uint32
 	for _, id := range g.opt.View.ServersToAvoid(q) {
 		avoid = append(avoid, hash(id))
 	}
-	replies := make(chan grant, 1)
+	replies := make(chan placement, 1)
 	g.mu.Lock()
-	to := hub.addrPort
+	to, protocol := hub.addrPort, hub.protocol
 	g.lastSequence++
 	sequence := g.lastSequence
 	g.pending[sequence] = replies
 	g.mu.Unlock()
 	if !to.IsValid() {
 		g.finishRequest(hub, sequence, false)
-		return nil
+		return nil, nil
 	}
-	g.send(kindServerRequest, &serverRequest{
+	request := &serverRequest{
 		Name: g.opt.Name, Sequence: sequence, Service: q.Service, Class: q.Class, AtMostOnce: q.AtMostOnce, Headroom: q.Headroom, Avoid: avoid, DataCentre: q.DataCentre,
 		SlackMs: q.Slack.Milliseconds(), LeftMs: q.Left.Milliseconds(), RunMs: q.RunTime.Milliseconds(),
-	}, to)
+	}
+	if protocol >= protocolPlacements {
+		g.send(kindPlacementRequest, newPlacementRequest(request, &q), to)
+	} else {
+		g.send(kindServerRequest, request, to)
+	}
 	timer := time.NewTimer(hubTimeout)
 	defer timer.Stop()
 	select {
 	case reply := <-replies:
 		g.recordHubReply(hub, true)
-		return g.acceptGrant(hub, &reply, q)
+		return g.acceptPlacement(hub, &reply, q)
 	case <-timer.C:
 		g.recordHubReply(hub, false)
 		g.finishRequest(hub, sequence, true)
-		return nil
+		return nil, nil
 	}
 }
 
-// acceptGrant counts a request on the slot that a hub granted. It returns nil if the hub has
-// no server or picks one that this instance would not use.
-func (g *Group) acceptGrant(hub *peer, reply *grant, q balance.Query) *fleet.Lease {
+// acceptPlacement counts a request on the slot that a hub granted. It returns no lease if the
+// hub has no server, with the reason, or picks one that this instance would not use.
+func (g *Group) acceptPlacement(hub *peer, reply *placement, q balance.Query) (*fleet.Lease, *balance.Rejection) {
 	server := g.serverID(reply.Server)
 	// A load report that includes the grant must include the request and the reverse, or
 	// the hub would count it not at all or twice.
@@ -118,12 +135,15 @@
 	lease, ok := g.opt.View.AcceptPick(server, q)
 	delete(g.pending, reply.Sequence)
 	g.mu.Unlock()
-	if ok {
+	switch {
+	case ok:
 		lease.Picker = hub.name
-	} else if reply.Server != 0 {
+		return lease, nil
+	case reply.Server != 0:
 		g.finishRequest(hub, reply.Sequence, true)
+		return nil, nil
 	}
-	return lease
+	return nil, reply.rejection()
 }
 
 // finishRequest ends a request to a hub without a lease. If the hub may have granted a slot,
@@ -163,8 +183,14 @@
 	return included
 }
 
-// onGrant passes a grant to the request that waits for it.
-func (g *Group) onGrant(reply *grant, _ netip.AddrPort) {
+// onGrant passes the grant of a hub that does not know placement requests to the request that
+// waits for it.
+func (g *Group) onGrant(reply *grant, from netip.AddrPort) {
+	g.onPlacement(&placement{Sequence: reply.Sequence, Server: reply.Server}, from)
+}
+
+// onPlacement passes a placement to the request that waits for it.
+func (g *Group) onPlacement(reply *placement, _ netip.AddrPort) {
 	g.mu.Lock()
 	replies := g.pending[reply.Sequence]
 	g.mu.Unlock()
--- a/node/peers/ratelimit_test.go
+++ b/node/peers/ratelimit_test.go
@@ -51,7 +51,7 @@
 	var running sync.WaitGroup
 	for ; time.Now().Before(until); time.Sleep(interval) {
 		running.Go(func() {
-			lease, ok := n.group.Place(balance.Query{Service: "svc", Class: balance.Online})
+			lease, ok := n.place(balance.Query{Service: "svc", Class: balance.Online})
 			s.mu.Lock()
 			if !ok {
 				s.refused++
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -42,6 +42,47 @@
 	// slot; a request without a requester takes any free slot at once.
 	Slack     time.Duration
 	Requester string
+	// Workspace is the name of the caller's workspace, empty for none, and Priority the priority
+	// class; 0 is the most urgent.
+	Workspace string
+	Priority  int
+	// Prompt holds the segments of the prompt in order. The last one is the request's or its
+	// session's own.
+	Prompt []PromptSegment
+	// PromptTokens is the length of the prompt and OutputTokens the maximum length of the
+	// output; zero if not stated.
+	PromptTokens, OutputTokens int64
+}
+
+// PromptSegment is a part of a prompt, identified by the hash of its ID.
+type PromptSegment struct {
+	Segment uint32
+	Tokens  int64
+}
+
+// Rejection is why a request gets no server now.
+type Rejection struct {
+	Reason Reason
+	// RetryAfter is the time after which the request is likely to be taken; zero if not known.
+	RetryAfter time.Duration
+}
+
+// Reason is the reason of a Rejection.
+type Reason uint8
+
+// The reasons.
+const (
+	// NoServer: no server is eligible, or a batch request has to wait for a slot.
+	NoServer Reason = iota
+	// OverQuota: the workspace has used up its quota.
+	OverQuota
+	// OverShare: there is too little room, and the workspace has more than its share of it.
+	OverShare
+)
+
+// String returns the reason's name in logs and metrics.
+func (r Reason) String() string {
+	return [...]string{"no server", "over quota", "over share"}[min(r, OverShare)]
 }
 
 // Choice is the chosen server and its load when it was chosen.
--- a/policy/quota/quota.go
+++ b/policy/quota/quota.go
@@ -34,7 +34,7 @@
 	finishRateWeight = 0.2
 )
 
-// Key identifies what a limit applies to. An empty Workspace stands for all of them.
+// Key identifies what a limit applies to. Workspace is empty in a fleet without workspaces.
 type Key struct{ Route, Workspace string }
 
 // Sum is the sum of the tokens of items that wait, as derived from the job records.
