promptcache: the hub prefers servers that keep the beginning of a prompt

Model servers read shared prompt segments again that another server still keeps, since placement knew nothing of prompts. The hub now estimates from its placements what each server's KV cache holds, and lowers a server's score for it, for services whose engine states a capacity. Instances without a hub choose among homes by hash.

--- a/domain/serving/request.go
+++ b/domain/serving/request.go
@@ -15,6 +15,8 @@
 	// Resumes is the ID of the caller's attempt that brought the first event of the stream;
 	// empty if not stated.
 	Resumes string
+	// Model is the name of the model; empty if not stated.
+	Model string
 	// PromptTokens is the length of the prompt and OutputTokens the maximum length of
 	// the output; zero if not stated.
 	PromptTokens, OutputTokens int64
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -119,6 +119,7 @@
 			return
 		}
 		if v.revision.CompareAndSwap(old, next) {
+			v.trackPrompts(next)
 			klog.InfoS("configuration in force", "version", next.Version, "routes", len(next.Routes), "services", len(next.Services), "workspaces", len(next.Workspaces.All()), "keys", next.Workspaces.Keys())
 			for _, problem := range next.Problems[:min(len(next.Problems), maxLoggedProblems)] {
 				klog.InfoS("part of the configuration ignored", "version", next.Version, "cause", problem)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -289,7 +289,7 @@
 func PromptSegments(request *serving.Request) []balance.PromptSegment {
 	segments := make([]balance.PromptSegment, len(request.Prompt))
 	for i, s := range request.Prompt {
-		segments[i] = balance.PromptSegment{Segment: uint32(xxhash.Sum64String(s.ID)), Tokens: s.Tokens}
+		segments[i] = balance.PromptSegment{Segment: uint32(xxhash.Sum64String(request.Model + "\x00" + s.ID)), Tokens: s.Tokens}
 	}
 	return segments
 }
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -382,11 +382,7 @@
 
 // recordAnswer records that the parts of an item's prompt crash no server.
 func (r *Runner) recordAnswer(item *Item) {
-	h := http.Header{}
-	for name, value := range item.Header {
-		h.Set(name, value)
-	}
-	request := r.Protocol.ParseRequest(h)
+	request := r.parseItem(item)
 	if parts := gateway.SharedParts(&request); len(parts) > 0 {
 		r.Answers.RecordAnswer(poison.Request{Parts: parts})
 	}
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -209,6 +209,7 @@
 		}
 		// The lock is not held because Place may call another instance.
 		query := balance.Query{Service: service, Class: balance.Batch, Headroom: onlineHeadroom, Slack: c.slack}
+		r.describePrompt(c, &query)
 		bound := r.bindToOrigin(now, c, &query)
 		lease, rejection := r.Placer.Place(query)
 		if rejection != nil {
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -188,6 +188,7 @@
 	metrics.Set("gateway", i.gateway.Metrics.Map())
 	metrics.Set("containment", i.group.ContainmentMetrics())
 	metrics.Set("jobs", i.jobMetrics.Map())
+	metrics.Set("prompts", expvar.Func(func() any { return i.view.PromptStats() }))
 	metrics.Set("waiting_tokens", i.index.WaitingMetrics())
 	metrics.Set("store_calls", i.store.Map())
 	metrics.Set("server_faults", i.pool.Faults())
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -54,12 +54,6 @@
 	PromptTokens, OutputTokens int64
 }
 
-// PromptSegment is a part of a prompt, identified by the hash of its ID.
-type PromptSegment struct {
-	Segment uint32
-	Tokens  int64
-}
-
 // Rejection is why a request gets no server now.
 type Rejection struct {
 	Reason Reason
@@ -156,9 +150,13 @@
 }
 
 // better reports whether c is the better choice. Servers of equal score are ordered by
-// their IDs, so that the choice does not depend on the order of the list.
+// their recent requests with a prompt and then by their IDs, so that the choice does not depend
+// on the order of the list.
 func (c candidate) better(other candidate) bool {
-	return c.score < other.score || c.score == other.score && c.server.ID < other.server.ID
+	if c.score != other.score {
+		return c.score < other.score
+	}
+	return c.recent < other.recent || c.recent == other.recent && c.server.ID < other.server.ID
 }
 
 // tier says what a request gets at a server.
@@ -196,8 +194,9 @@
 		return unreachable.choice(), true
 	}
 	delete(t.batchWaits, q.Requester)
-	best := t.selectCandidate(candidates, q.CompleteView)
+	best := t.selectCandidate(candidates, &q)
 	best.takeRate(now, q)
+	t.placePrompt(best, &q)
 	if best.consecutiveUnreachable > 0 {
 		best.trialUntil = now.Add(trialTimeout)
 	}
@@ -216,6 +215,10 @@
 	candidates = t.candidates[:0]
 	t.findUrgentWaits(now, &q)
 	smallServersFull := q.Class == Batch && group.smallServersFull(now, q.Headroom)
+	kept, meanRecent := t.lookUpPrompt(&q), 0.0
+	if kept != nil {
+		meanRecent = group.meanRecent()
+	}
 	for _, s := range group.servers {
 		switch {
 		case !s.eligible(&q):
@@ -227,7 +230,8 @@
 		case q.Class == Batch && (!s.hasBatchSlot(q.Headroom, smallServersFull) || s.failureRate(now) > maxBatchFailureRate || t.isReserved(s)):
 		default:
 			tier := s.tier()
-			candidates = append(candidates, candidate{s, s.score(now, q, tier, median), tier})
+			score := s.score(now, q, tier, median) - s.keptBenefit(kept, meanRecent)
+			candidates = append(candidates, candidate{s, score, tier})
 		}
 	}
 	t.candidates = candidates
@@ -406,15 +410,15 @@
 }
 
 // selectCandidate returns the best candidate if the view is complete, and otherwise the
-// best of a few that are drawn at random.
-func (t *Table) selectCandidate(list []candidate, completeView bool) *serverState {
+// best of a few that are drawn at random, or a home of the request's prompt.
+func (t *Table) selectCandidate(list []candidate, q *Query) *serverState {
 	best := list[0]
 	for _, c := range list[1:] {
 		if c.better(best) {
 			best = c
 		}
 	}
-	if completeView {
+	if q.CompleteView {
 		return best.serverState
 	}
 	// Candidates of a worse tier than the best one, or with a much higher score, are not
@@ -432,7 +436,7 @@
 			drawn = c
 		}
 	}
-	return drawn.serverState
+	return t.preferHome(list[:n], drawn, q).serverState
 }
 
 // Capacity returns the numbers of free slots, slots and servers of a service, without
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/policy/promptcache"
 	"github.com/jacinthnotch/jacinthnotch/policy/ratelimit"
 )
 
@@ -114,6 +115,11 @@
 	// surplusSince is when the server was first seen with more requests in flight than
 	// slots, zero while it has not; preemptedAt is the time of the last preemption there.
 	surplusSince, preemptedAt time.Time
+	// kept is what the server keeps of prompts; nil if nothing. hash is the hash of its ID, and
+	// recent the sum of the weights of the requests with a prompt that were placed there.
+	kept   *promptcache.Server
+	hash   uint32
+	recent float64
 }
 
 // serviceState is the group of servers of one service.
@@ -189,6 +195,8 @@
 	random      *rand.Rand
 	// candidates is the buffer of Pick.
 	candidates []candidate
+	// prompts holds the prompt caches by service, for those whose capacity is known.
+	prompts map[string]*prompts
 }
 
 // NewTable returns an empty table.
@@ -205,15 +213,18 @@
 	for id, s := range t.servers {
 		server := servers[id]
 		if server == nil || server.Started != s.server.Started || server.Address != s.server.Address {
+			s.forgetPrompts()
 			delete(t.servers, id)
 			delete(t.active, id)
+		} else if server.Version != s.server.Version || server.Service != s.server.Service {
+			s.forgetPrompts()
 		}
 	}
 	clear(t.services)
 	for id, server := range servers {
 		s := t.servers[id]
 		if s == nil {
-			s = &serverState{}
+			s = &serverState{hash: hashOf(id)}
 			t.servers[id] = s
 		}
 		group := t.services[server.Service]
@@ -224,6 +235,7 @@
 		s.server, s.peers = server, Counts{}
 		group.servers = append(group.servers, s)
 	}
+	t.startRecent()
 	for _, r := range t.peers {
 		t.applyReport(r, 1)
 	}
