--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -9,7 +9,7 @@
 const (
 	// tokensPerRequest is the number of prompt tokens that take about as long to read, for the
 	// requests on a server together, as one more request makes them wait for their first events.
-	tokensPerRequest = 100.0
+	tokensPerRequest = 80.0
 	// maxKeptRequests bounds the weight of what a server keeps of a prompt, in requests in flight.
 	// It is small against a wait for a slot, so that segments that many requests share spread
 	// over the servers.
--- a/policy/promptcache/cache.go
+++ b/policy/promptcache/cache.go
@@ -10,6 +10,8 @@
 	maxSegments = 16
 	// stepsPerPlacement is the number of segments that the eviction visits at each placement.
 	stepsPerPlacement = 4
+	// entryBlock is the number of entries that are allocated at once.
+	entryBlock = 256
 	// outputShare is the share of the maximum output that a running request holds on average.
 	// meanSmoothing is the weight of a request in the mean size of running requests.
 	outputShare   = 0.5
@@ -61,6 +63,8 @@
 	holders []holder
 	// used is set when a request had the chain in its prompt, and reset by the eviction.
 	used bool
+	// first is the initial memory of holders.
+	first [1]holder
 }
 
 // Stats counts what a Cache saw since its start.
@@ -81,6 +85,8 @@
 	// order holds the entries for the eviction, which visits them in turn.
 	order []*entry
 	hand  int
+	// free holds entries that were removed, and entries that were not used yet.
+	free []*entry
 	// lookup is the number of the last lookup.
 	lookup uint64
 	// meanRunning is the mean number of tokens of output that a running request holds.
@@ -174,7 +180,7 @@
 func (c *Cache) use(at chain, s *Server) {
 	e := c.byChain[at]
 	if e == nil {
-		e = &entry{chain: at}
+		e = c.newEntry(at)
 		c.byChain[at] = e
 		c.order = append(c.order, e)
 	}
@@ -188,6 +194,22 @@
 	c.stats.Entries++
 }
 
+// newEntry returns an entry without holders.
+func (c *Cache) newEntry(at chain) *entry {
+	if len(c.free) == 0 {
+		block := make([]entry, entryBlock)
+		for i := range block {
+			c.free = append(c.free, &block[i])
+		}
+	}
+	last := len(c.free) - 1
+	e := c.free[last]
+	c.free = c.free[:last]
+	*e = entry{chain: at}
+	e.holders = e.first[:0]
+	return e
+}
+
 // evict removes holders that do not keep their segments any more from the next few entries, and
 // whole entries that were not used since the last visit while there are too many.
 func (c *Cache) evict() {
@@ -216,6 +238,8 @@
 	e := c.order[i]
 	c.stats.Entries -= len(e.holders)
 	delete(c.byChain, e.chain)
+	*e = entry{}
+	c.free = append(c.free, e)
 	last := len(c.order) - 1
 	c.order[i] = c.order[last]
 	c.order[last] = nil
