--- a/policy/promptcache/homes.go
+++ b/policy/promptcache/homes.go
@@ -9,12 +9,12 @@
 	popularityWindow   = 1024
 	// priorRequests is the number of requests of any prompt that each one counts as having been
 	// asked for before, so that few observations concentrate nothing.
-	priorRequests = 4
+	priorRequests = 8
 	// homesPerShare is the number of servers, for each server's share of the load, over which the
 	// requests with one prompt are spread. Each of them gets a quarter of the mean load from it.
 	homesPerShare = 4
 	// minHomes is the minimum number of servers of a prompt.
-	minHomes = 2
+	minHomes = 8
 )
 
 // Homes chooses the servers for prompts by their shared segments without knowing which servers
