servermemory: requests stay within the memory of servers; items weigh kept segments little

The hub estimates the tokens and bytes that the requests on a server hold, and learns from crashes how many bytes are too many. A request that would overflow a server goes elsewhere, or waits if it is an item. Requests that no server can hold are refused at once.

--- a/node/fleet/prompts.go
+++ b/node/fleet/prompts.go
@@ -4,7 +4,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
-	"github.com/jacinthnotch/jacinthnotch/policy/promptcache"
+	"github.com/jacinthnotch/jacinthnotch/policy/balance"
 )
 
 // trackPrompts tracks the prompt caches of the services whose servers have a KV cache.
@@ -27,7 +27,7 @@
 }
 
 // PromptStats returns the counters of the prompt caches by service. Only hubs count.
-func (v *View) PromptStats() map[string]promptcache.Stats {
+func (v *View) PromptStats() map[string]balance.PromptStats {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.table.PromptStats()
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -180,6 +180,11 @@
 			c.fail(causeBlocked)
 			return
 		}
+		if c.exceedsServers() {
+			c.gateway.Metrics.count("oversized")
+			c.fail(causeOversized)
+			return
+		}
 		if c.runCount == 0 && !c.gateway.Drain.admits(time.Now(), c.deadline, c.gateway.View.MeanRunTime(c.service)) {
 			c.fail(causeDraining)
 			return
@@ -479,7 +484,7 @@
 	switch {
 	case c.runCount == 0:
 		status, retryAfter = http.StatusServiceUnavailable, c.retryAfter()
-		if cause == causeNoVersion {
+		if cause == causeNoVersion || cause == causeOversized {
 			retryAfter = 0 // it would be refused again
 		}
 	case c.deadlineReached():
--- a/node/gateway/resume.go
+++ b/node/gateway/resume.go
@@ -100,6 +100,7 @@
 		RequireVersion: c.origin.known, Version: c.origin.Version,
 		Workspace: c.caller.Name(), Priority: c.caller.PriorityOr(c.route.Priority),
 		Prompt: PromptSegments(&c.request), PromptTokens: c.request.PromptTokens, OutputTokens: c.request.OutputTokens,
+		Bytes: int64(len(c.body)),
 	}
 }
 
--- a/node/jobs/prompt.go
+++ b/node/jobs/prompt.go
@@ -16,6 +16,7 @@
 		return
 	}
 	request := r.parseItem(&items[c.index])
+	query.Bytes = int64(len(items[c.index].Body))
 	query.Prompt, query.PromptTokens, query.OutputTokens = gateway.PromptSegments(&request), request.PromptTokens, request.OutputTokens
 }
 
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -199,6 +199,8 @@
 	Prompt       []promptSegment `cbor:"3,keyasint,omitempty"`
 	PromptTokens int64           `cbor:"4,keyasint,omitempty"`
 	OutputTokens int64           `cbor:"5,keyasint,omitempty"`
+	// Bytes is the size of the body.
+	Bytes int64 `cbor:"20,keyasint,omitempty"`
 }
 
 // promptSegment is a segment of a prompt.
@@ -293,7 +295,7 @@
 // query returns the query of a placement request.
 func (r *placementRequest) query() balance.Query {
 	q := r.Request.query()
-	q.Workspace, q.Priority, q.PromptTokens, q.OutputTokens = r.Workspace, r.Priority, r.PromptTokens, r.OutputTokens
+	q.Workspace, q.Priority, q.PromptTokens, q.OutputTokens, q.Bytes = r.Workspace, r.Priority, r.PromptTokens, r.OutputTokens, r.Bytes
 	for _, s := range r.Prompt {
 		q.Prompt = append(q.Prompt, balance.PromptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
@@ -302,7 +304,7 @@
 
 // newPlacementRequest returns the placement request of a query.
 func newPlacementRequest(request *serverRequest, q *balance.Query) *placementRequest {
-	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens}
+	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Bytes: q.Bytes}
 	for _, s := range q.Prompt {
 		r.Prompt = append(r.Prompt, promptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -52,6 +52,8 @@
 	// PromptTokens is the length of the prompt and OutputTokens the maximum length of the
 	// output; zero if not stated.
 	PromptTokens, OutputTokens int64
+	// Bytes is the size of the body.
+	Bytes int64
 }
 
 // Rejection is why a request gets no server now.
@@ -196,7 +198,7 @@
 	delete(t.batchWaits, q.Requester)
 	best := t.selectCandidate(candidates, &q)
 	best.takeRate(now, q)
-	t.placePrompt(best, &q)
+	t.recordPlacement(now, best, &q)
 	if best.consecutiveUnreachable > 0 {
 		best.trialUntil = now.Add(trialTimeout)
 	}
@@ -215,7 +217,7 @@
 	candidates = t.candidates[:0]
 	t.findUrgentWaits(now, &q)
 	smallServersFull := q.Class == Batch && group.smallServersFull(now, q.Headroom)
-	kept, meanRecent := t.lookUpPrompt(&q), 0.0
+	memory, kept, meanRecent := t.prompts[q.Service], t.lookUpPrompt(&q), 0.0
 	if kept != nil {
 		meanRecent = group.meanRecent()
 	}
@@ -230,7 +232,13 @@
 		case q.Class == Batch && (!s.hasBatchSlot(q.Headroom, smallServersFull) || s.failureRate(now) > maxBatchFailureRate || t.isReserved(s)):
 		default:
 			tier := s.tier()
-			score := s.score(now, q, tier, median) - s.keptBenefit(kept, meanRecent)
+			score := s.score(now, q, tier, median) - s.keptBenefit(kept, q.Class, meanRecent)
+			if memory.overflows(now, s, &q) {
+				if q.Class == Batch {
+					continue
+				}
+				score += overflowCost
+			}
 			candidates = append(candidates, candidate{s, score, tier})
 		}
 	}
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/policy/promptcache"
+	"github.com/jacinthnotch/jacinthnotch/policy/servermemory"
 )
 
 const (
@@ -14,6 +15,9 @@
 	// It is small against a wait for a slot, so that segments that many requests share spread
 	// over the servers.
 	maxKeptRequests = 2.25
+	// batchKeptShare is the weight for a batch request in relation to that for an online one. It
+	// holds its slot for much longer, so that the speed of the server outweighs what it reads.
+	batchKeptShare = 0.1
 	// busyFactor is the ratio of a server's recent requests to the mean of its service above which
 	// it is not preferred for what it keeps. recentPerServer is the number of requests for each
 	// server after which a request counts little as a recent one, and maxRecentWeight the weight
@@ -33,6 +37,8 @@
 	// weight is the weight of the next request among the recent ones of its server. It grows with
 	// each request, so that earlier ones count less.
 	weight float64
+	// bound is the number of bytes that a server can hold.
+	bound servermemory.Bound
 }
 
 // SetKVCaches sets the capacities of the servers' KV caches in tokens, by service. Prompt caches
@@ -55,11 +61,18 @@
 	t.prompts = next
 }
 
-// PromptStats returns the counters of the prompt caches by service.
-func (t *Table) PromptStats() map[string]promptcache.Stats {
-	stats := make(map[string]promptcache.Stats, len(t.prompts))
+// PromptStats are the counters of the prompt caches of a service, and the number of bytes above
+// which a server is known to crash; zero if none is known.
+type PromptStats struct {
+	promptcache.Stats
+	MaxBytes int64
+}
+
+// PromptStats returns the counters by service.
+func (t *Table) PromptStats() map[string]PromptStats {
+	stats := make(map[string]PromptStats, len(t.prompts))
 	for service, p := range t.prompts {
-		stats[service] = p.cache.Stats()
+		stats[service] = PromptStats{p.cache.Stats(), p.bound.Bytes()}
 	}
 	return stats
 }
@@ -108,7 +121,7 @@
 
 // keptBenefit returns the amount by which a server's score falls for what it keeps of the prompt
 // of the last lookup. meanRecent is the mean of the recent requests of the servers.
-func (s *serverState) keptBenefit(cache *promptcache.Cache, meanRecent float64) float64 {
+func (s *serverState) keptBenefit(cache *promptcache.Cache, class Class, meanRecent float64) float64 {
 	if cache == nil || s.kept == nil {
 		return 0
 	}
@@ -116,7 +129,11 @@
 	if tokens == 0 || s.recent > busyFactor*meanRecent {
 		return 0
 	}
-	return min(float64(tokens)/tokensPerRequest, maxKeptRequests) / float64(s.slots())
+	benefit := min(float64(tokens)/tokensPerRequest, maxKeptRequests) / float64(s.slots())
+	if class == Batch {
+		return benefit * batchKeptShare
+	}
+	return benefit
 }
 
 // meanRecent returns the mean of the recent requests of the usable servers of a service.
@@ -132,11 +149,7 @@
 }
 
 // placePrompt records the prompt of a request that is placed on a server.
-func (t *Table) placePrompt(s *serverState, q *Query) {
-	p := t.prompts[q.Service]
-	if p == nil || !q.CompleteView || len(q.Prompt) == 0 {
-		return
-	}
+func (t *Table) placePrompt(p *prompts, s *serverState, q *Query) {
 	if s.kept == nil {
 		s.kept = p.cache.NewServer()
 	}
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -8,6 +8,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/policy/promptcache"
 	"github.com/jacinthnotch/jacinthnotch/policy/ratelimit"
+	"github.com/jacinthnotch/jacinthnotch/policy/servermemory"
 )
 
 // Class is the scheduling class of a request.
@@ -120,6 +121,8 @@
 	kept   *promptcache.Server
 	hash   uint32
 	recent float64
+	// memory is what the requests on the server hold.
+	memory servermemory.Server
 }
 
 // serviceState is the group of servers of one service.
@@ -213,7 +216,7 @@
 	for id, s := range t.servers {
 		server := servers[id]
 		if server == nil || server.Started != s.server.Started || server.Address != s.server.Address {
-			s.forgetPrompts()
+			t.recordStop(s)
 			delete(t.servers, id)
 			delete(t.active, id)
 		} else if server.Version != s.server.Version || server.Service != s.server.Service {
