--- a/policy/balance/memory.go
+++ b/policy/balance/memory.go
@@ -24,7 +24,7 @@
 // overflows reports whether the request would overflow the memory of a server with others on it.
 // A server without requests takes any.
 func (p *prompts) overflows(now time.Time, s *serverState, q *Query) bool {
-	if p == nil || !q.CompleteView || s.inFlight() == 0 {
+	if p == nil || s.memory == nil || !q.CompleteView || s.inFlight() == 0 {
 		return false
 	}
 	size, limit := q.size(), servermemory.Size{Tokens: p.cache.Capacity(), Bytes: p.bound.Bytes()}
@@ -45,7 +45,10 @@
 	if p == nil || !q.CompleteView {
 		return
 	}
-	p.bound.Observe(now, &s.memory)
+	if s.memory == nil {
+		s.memory = &servermemory.Server{}
+	}
+	p.bound.Observe(now, s.memory)
 	s.memory.Add(now, q.size(), s.inFlight()+1)
 	if len(q.Prompt) > 0 {
 		t.placePrompt(p, s, q)
@@ -55,7 +58,7 @@
 // recordStop records that a server is gone or was started again. It crashed unless it was leaving.
 func (t *Table) recordStop(s *serverState) {
 	s.forgetPrompts()
-	if p := t.prompts[s.server.Service]; p != nil && s.server.Usable() {
-		p.bound.RecordCrash(&s.memory)
+	if p := t.prompts[s.server.Service]; p != nil && s.memory != nil && s.server.Usable() {
+		p.bound.RecordCrash(s.memory)
 	}
 }
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -121,8 +121,8 @@
 	kept   *promptcache.Server
 	hash   uint32
 	recent float64
-	// memory is what the requests on the server hold.
-	memory servermemory.Server
+	// memory is what the requests on the server hold; nil if none is known.
+	memory *servermemory.Server
 }
 
 // serviceState is the group of servers of one service.
--- a/policy/promptcache/cache_test.go
+++ b/policy/promptcache/cache_test.go
@@ -1,6 +1,9 @@
 package promptcache
 
-import "testing"
+import (
+	"runtime"
+	"testing"
+)
 
 func prompt(ids ...uint32) []Segment {
 	list := make([]Segment, len(ids))
@@ -96,3 +99,26 @@
 		}
 	}
 }
+
+// BenchmarkMemory measures the memory of a cache that knows as much as it may of 740 servers.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		cache := New(1<<40, DefaultMaxEntries)
+		servers := make([]*Server, 740)
+		for i := range servers {
+			servers[i] = cache.NewServer()
+		}
+		for i := range uint32(DefaultMaxEntries) {
+			p := prompt(1+i%80, 100+i%800, 1000+i)
+			cache.Lookup(p)
+			cache.Place(servers[i%740], p, 0, 0)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "bytes")
+		runtime.KeepAlive(cache)
+	}
+}
--- a/policy/servermemory/servermemory.go
+++ b/policy/servermemory/servermemory.go
@@ -29,10 +29,10 @@
 // not known, only how many are in flight: the largest ones count as those. Its zero value is a
 // server without requests.
 type Server struct {
+	// total is the size of all remembered placements.
+	total      Size
 	placements [maxPlacements]placement
 	next       int
-	// total is the size of all remembered placements.
-	total Size
 	// peak is the most bytes held since peakSince, and lastPeak that of the period before.
 	peak, lastPeak int64
 	peakSince      time.Time
