--- a/node/fleet/prompts.go
+++ b/node/fleet/prompts.go
@@ -32,3 +32,14 @@
 	defer v.mu.Unlock()
 	return v.table.PromptStats()
 }
+
+// logByteBounds logs the changes of the numbers of bytes above which servers crash. The lock must
+// be held.
+func (v *View) logByteBounds() {
+	for service, stats := range v.table.PromptStats() {
+		if stats.MaxBytes != v.byteBounds[service] {
+			v.byteBounds[service] = stats.MaxBytes
+			klog.InfoS("bytes that a server can hold", "service", service, "bytes", stats.MaxBytes)
+		}
+	}
+}
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -68,6 +68,8 @@
 	// ownDepartures holds the statements of servers that they are leaving, to this instance,
 	// until they have been reported for departureReportTime.
 	ownDepartures []serving.Departure
+	// byteBounds holds the logged numbers of bytes above which servers crash, by service.
+	byteBounds map[string]int64
 }
 
 // serviceVersion is a version of the software of a service.
@@ -75,7 +77,7 @@
 
 // NewView returns an empty view.
 func NewView(random *rand.Rand) *View {
-	return &View{ready: make(chan struct{}), registry: serving.NewRegistry(), table: balance.NewTable(random), runTimes: map[string]time.Duration{}, versions: map[serviceVersion]time.Time{}}
+	return &View{ready: make(chan struct{}), registry: serving.NewRegistry(), table: balance.NewTable(random), runTimes: map[string]time.Duration{}, versions: map[serviceVersion]time.Time{}, byteBounds: map[string]int64{}}
 }
 
 // Revision returns the configuration in force, or nil if none has been read yet.
@@ -581,6 +583,7 @@
 	maps.DeleteFunc(v.versions, func(_ serviceVersion, at time.Time) bool { return now.Sub(at) > versionMemory })
 	v.servers = next
 	v.table.SetServers(next)
+	v.logByteBounds()
 	v.serversVersion.Add(1)
 }
 
