--- a/domain/config/document.go
+++ b/domain/config/document.go
@@ -164,20 +164,12 @@
 	Capacity   map[string]*Capacity
 	Workspaces map[string]*Workspace
 
-	workspaceByKeyHash map[string]string
-	capacityByService  map[string]string
+	capacityByService map[string]string
 	// hasFleet is false when the document has no section [fleet] and Fleet holds the
 	// defaults.
 	hasFleet bool
 }
 
-// WorkspaceByKey returns the name of the workspace that has an API key with the given
-// hash, the SHA-256 of the key in lower-case hex.
-func (d *Document) WorkspaceByKey(hash string) (name string, ok bool) {
-	name, ok = d.workspaceByKeyHash[hash]
-	return name, ok
-}
-
 // CapacityOf returns the capacity section of a model service, or the defaults when the
 // document has no such section.
 func (d *Document) CapacityOf(service string) *Capacity {
@@ -193,14 +185,13 @@
 	f := &Fleet{}
 	applyDefaults(KindFleet, f, nil)
 	return &Document{
-		Fleet:              f,
-		Services:           map[string]*Service{},
-		Models:             map[string]*Model{},
-		Adapters:           map[string]*Adapter{},
-		Capacity:           map[string]*Capacity{},
-		Workspaces:         map[string]*Workspace{},
-		workspaceByKeyHash: map[string]string{},
-		capacityByService:  map[string]string{},
+		Fleet:             f,
+		Services:          map[string]*Service{},
+		Models:            map[string]*Model{},
+		Adapters:          map[string]*Adapter{},
+		Capacity:          map[string]*Capacity{},
+		Workspaces:        map[string]*Workspace{},
+		capacityByService: map[string]string{},
 	}
 }
 
@@ -227,8 +218,5 @@
 		d.capacityByService[v.Service] = name
 	case *Workspace:
 		d.Workspaces[name] = v
-		for _, h := range v.KeyHashes {
-			d.workspaceByKeyHash[h] = name
-		}
 	}
 }
--- a/node/api/config.go
+++ b/node/api/config.go
@@ -1,6 +1,6 @@
 package api
 
-import "crypto/sha256"
+import "github.com/jacinthnotch/jacinthnotch/domain/workspace"
 
 // Config provides the configuration document in effect.
 type Config interface {
@@ -20,8 +20,8 @@
 	Limits Limits
 }
 
-// KeyHash is the SHA-256 digest of an API key.
-type KeyHash [sha256.Size]byte
+// KeyHash is the hash of an API key.
+type KeyHash = workspace.KeyHash
 
 // Workspace is a group of callers with its API keys.
 type Workspace struct {
--- a/node/follower/view.go
+++ b/node/follower/view.go
@@ -1,10 +1,10 @@
 package follower
 
 import (
-	"encoding/hex"
 	"slices"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/config"
+	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
 )
 
@@ -61,8 +61,7 @@
 func parseKeyHashes(texts []string) []api.KeyHash {
 	var out []api.KeyHash
 	for _, text := range texts {
-		var h api.KeyHash
-		if n, err := hex.Decode(h[:], []byte(text)); err == nil && n == len(h) {
+		if h, err := workspace.ParseKeyHash(text); err == nil {
 			out = append(out, h)
 		}
 	}
--- a/node/web/auth.go
+++ b/node/web/auth.go
@@ -1,13 +1,13 @@
 package web
 
 import (
-	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
 	"github.com/jacinthnotch/jacinthnotch/node/api"
 )
 
@@ -20,14 +20,14 @@
 // Authenticate returns the workspace of the key in the Authorization header and
 // whether the header held a valid key. No key is needed when the configuration has
 // none and the listener is on a loopback address.
-func Authenticate(view *api.View, authorization string, loopback bool) (workspace string, authenticated bool, err error) {
+func Authenticate(view *api.View, authorization string, loopback bool) (name string, authenticated bool, err error) {
 	if view == nil {
 		return "", false, api.Unavailable(api.CodeOverloaded, configRetryAfter, "the instance has no configuration yet")
 	}
 	token, ok := bearer(authorization)
 	// All hashes are compared, even after a match, so that the time does not
 	// depend on the key.
-	sum := sha256.Sum256([]byte(token))
+	sum := workspace.HashKey(token)
 	match, keyCount := "", 0
 	for name, ws := range view.Workspaces {
 		for i := range ws.KeyHashes {
