--- a/policy/balance/bench_test.go
+++ b/policy/balance/bench_test.go
@@ -23,6 +23,24 @@
 	}
 }
 
+// BenchmarkPickByPrompt measures one about a prompt whose segments many servers keep.
+func BenchmarkPickByPrompt(b *testing.B) {
+	for _, servers := range serverCounts {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			tb := newLoadedTable(servers)
+			tb.SetKVCaches(map[string]int64{"svc": 147_261})
+			q := Query{Service: "svc", DataCentre: "dc1", CompleteView: true, Prompt: make([]PromptSegment, 3)}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				for j, n := range []int{80, 796, 1 << 30} {
+					q.Prompt[j] = PromptSegment{Segment: uint32(j<<30 + i%n), Tokens: 100}
+				}
+				tb.Pick(epoch, q)
+			}
+		})
+	}
+}
+
 // BenchmarkOwnLoad measures what an instance does every 10 ms to report its load.
 func BenchmarkOwnLoad(b *testing.B) {
 	for _, servers := range serverCounts {
