workspaces: quotas of online requests over all instances

Nothing stopped a workspace that sends many times its usual. Instances count what they send by workspace and report it to both hubs; the hub that picks the server decides on the quota with the same message. Not measured yet.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -98,9 +98,9 @@
 	origin streamOrigin
 	// tried holds the IDs of the servers that were sent the request.
 	tried map[string]bool
-	// sentCount counts the servers that were sent the request, runCount those among them
-	// that may have run it.
-	sentCount, runCount int
+	// sentCount counts the servers that were sent the request, runCount those among them that
+	// may have run it, and notRunCount those that did not run it.
+	sentCount, runCount, notRunCount int
 	// lastEvent is the ID of the last event that was forwarded. headerWritten is set once
 	// the header of the response was written.
 	lastEvent     int64
@@ -118,6 +118,10 @@
 	// buffered is the size of the responses that count in the gateway's budget, in bytes.
 	buffered int
 	lastErr  error
+	// charged is set once the request counts in its workspace's quota.
+	charged bool
+	// rejection is why the request gets no server, if the reason is the caller's workspace.
+	rejection *balance.Rejection
 }
 
 // progress is how far the response to one attempt has come.
@@ -163,6 +167,7 @@
 func (c *call) run() {
 	c.service = ChooseService(c.route)
 	defer c.releaseBuffers()
+	defer c.returnQuota()
 	ctx, cancel := withOptionalDeadline(c.incoming.Context(), c.deadline)
 	defer cancel()
 	defer c.gateway.Drain.cancelAtEnd(cancel)()
@@ -185,11 +190,18 @@
 			return
 		}
 		lease, reason := c.acquireServer()
-		if reason != "" {
+		switch {
+		case c.rejection != nil:
+			c.refuseOverQuota()
+			return
+		case reason != "":
 			c.fail(reason)
 			return
 		}
 		result := c.attempt(ctx, lease)
+		if result == notRun {
+			c.notRunCount++
+		}
 		switch {
 		case result == delivered:
 			c.recordDelivered("delivered")
@@ -241,10 +253,14 @@
 		lease, rejection := c.gateway.Placer.Place(query)
 		reason := "no server is left"
 		if rejection == nil {
+			c.charged, query.Charged = true, true
 			if reason = c.excessiveWait(lease); reason == "" {
 				return lease, ""
 			}
 			lease.End(balance.Abandoned)
+		} else if rejection.Reason == balance.OverQuota {
+			c.rejection = rejection
+			return nil, causeOverQuota
 		}
 		if !c.mayWaitForRate() {
 			return nil, reason
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -57,6 +57,12 @@
 	Place(q balance.Query) (*fleet.Lease, *balance.Rejection)
 }
 
+// Quotas counts the requests of workspaces.
+type Quotas interface {
+	// ReturnQuota takes a request back that was placed and has not run.
+	ReturnQuota(q balance.Query)
+}
+
 // Containment blocks the requests that crash the servers that run them.
 type Containment interface {
 	// Blocked reports whether the request is blocked.
@@ -83,11 +89,13 @@
 
 // Gateway is the HTTP handler for callers' requests.
 type Gateway struct {
-	View        *fleet.View
-	Pool        *exchange.Pool
-	Protocol    Protocol
-	Jobs        Jobs
-	Placer      Placer
+	View     *fleet.View
+	Pool     *exchange.Pool
+	Protocol Protocol
+	Jobs     Jobs
+	Placer   Placer
+	// Quotas is told of the requests that were placed and have not run; nil if nobody is.
+	Quotas      Quotas
 	Containment Containment
 	Origins     Origins
 	Metrics     *Metrics
--- a/node/gateway/resume.go
+++ b/node/gateway/resume.go
@@ -98,7 +98,7 @@
 	return balance.Query{
 		Service: c.service, Class: balance.Online, AtMostOnce: !c.repeatable(), Tried: c.tried,
 		RequireVersion: c.origin.known, Version: c.origin.Version,
-		Workspace: c.caller.Name(), Priority: c.caller.PriorityOr(c.route.Priority),
+		Workspace: c.caller.Name(), Priority: c.caller.PriorityOr(c.route.Priority), Charged: c.charged || c.route.Public,
 		Prompt: PromptSegments(&c.request), PromptTokens: c.request.PromptTokens, OutputTokens: c.request.OutputTokens,
 	}
 }
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -328,8 +328,18 @@
 
 // onPlacementRequest picks a server for a peer's request and replies with a placement.
 func (g *Group) onPlacementRequest(request *placementRequest, from netip.AddrPort) {
-	choice, rejection := g.placeForPeer(&request.Request, request.query(), from)
-	g.send(kindPlacement, newPlacement(request.Request.Sequence, choice, rejection), from)
+	q := request.query()
+	recent, rejection := g.grantQuota(&request.Request, &q)
+	var choice balance.Choice
+	if rejection == nil {
+		choice, rejection = g.placeForPeer(&request.Request, q, from)
+		if rejection != nil && recent > 0 {
+			g.dropQuotaGrant(&request.Request)
+		}
+	}
+	reply := newPlacement(request.Request.Sequence, choice, rejection)
+	reply.Recent = recent
+	g.send(kindPlacement, reply, from)
 	g.preemptFor(&request.Request, choice)
 }
 
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -40,6 +40,7 @@
 	kindOriginReply
 	kindPlacementRequest
 	kindPlacement
+	kindQuotaReport
 )
 
 // Versions of the protocol between instances. An instance states the version that it
@@ -199,6 +200,8 @@
 	Prompt       []promptSegment `cbor:"3,keyasint,omitempty"`
 	PromptTokens int64           `cbor:"4,keyasint,omitempty"`
 	OutputTokens int64           `cbor:"5,keyasint,omitempty"`
+	// Charged is set if the request counts in the workspace's quota already, or not at all.
+	Charged bool `cbor:"6,keyasint,omitempty"`
 }
 
 // promptSegment is a segment of a prompt.
@@ -215,6 +218,8 @@
 	Server       uint32 `cbor:"2,keyasint,omitempty"`
 	Reason       uint8  `cbor:"3,keyasint,omitempty"`
 	RetryAfterMs int64  `cbor:"4,keyasint,omitempty"`
+	// Recent is the number of requests of the workspace in the last window of its quota.
+	Recent int `cbor:"5,keyasint,omitempty"`
 }
 
 // grant is a hub's reply to a serverRequest; Server is zero if no server is available.
@@ -293,7 +298,7 @@
 // query returns the query of a placement request.
 func (r *placementRequest) query() balance.Query {
 	q := r.Request.query()
-	q.Workspace, q.Priority, q.PromptTokens, q.OutputTokens = r.Workspace, r.Priority, r.PromptTokens, r.OutputTokens
+	q.Workspace, q.Priority, q.Charged, q.PromptTokens, q.OutputTokens = r.Workspace, r.Priority, r.Charged, r.PromptTokens, r.OutputTokens
 	for _, s := range r.Prompt {
 		q.Prompt = append(q.Prompt, balance.PromptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
@@ -302,7 +307,7 @@
 
 // newPlacementRequest returns the placement request of a query.
 func newPlacementRequest(request *serverRequest, q *balance.Query) *placementRequest {
-	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens}
+	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, Charged: q.Charged, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens}
 	for _, s := range q.Prompt {
 		r.Prompt = append(r.Prompt, promptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
--- a/node/peers/origins.go
+++ b/node/peers/origins.go
@@ -63,6 +63,9 @@
 // recordPause records that this instance stood still, as when its host was suspended: as a hub it
 // begins anew, because reports to it may have been lost. The lock must be held.
 func (g *Group) recordPause(now time.Time) {
+	if !g.livenessCheckedAt.IsZero() && now.Sub(g.livenessCheckedAt) > maxPause {
+		g.quota.resumedAt = now
+	}
 	if g.hub.active && !g.livenessCheckedAt.IsZero() && now.Sub(g.livenessCheckedAt) > maxPause {
 		g.hub.since = now
 	}
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -97,6 +97,7 @@
 	preemptions preemptionLog
 	// containment has its own lock.
 	containment containment
+	quota       quotaState
 	// entriesMissing is set when a roster names an instance whose entry is not known.
 	entriesMissing bool
 	// alive is the result of Alive at aliveAt.
@@ -116,7 +117,7 @@
 	g := &Group{
 		opt: opt, conn: opt.Conn, wakeups: make(chan struct{}, 1), peers: map[string]*peer{}, peersByHash: map[uint32]*peer{},
 		pending: map[uint64]chan placement{}, preemptions: newPreemptionLog(),
-		origins: newOriginQuestions(), containment: newContainment(opt.Name),
+		origins: newOriginQuestions(), containment: newContainment(opt.Name), quota: newQuotaState(opt.Name),
 	}
 	opt.View.NotifyLoadChanges(g.wake)
 	return g, nil
@@ -194,6 +195,8 @@
 		return handle(raw, from, g.onRosterRequest)
 	case kindTotals:
 		return handle(raw, from, g.onTotals)
+	case kindQuotaReport:
+		return handle(raw, from, g.onQuotaReport)
 	}
 	return errors.New("peers: datagram of unknown kind")
 }
--- a/node/peers/place.go
+++ b/node/peers/place.go
@@ -31,11 +31,14 @@
 		return nil, &balance.Rejection{}
 	case self:
 		return g.placeAsHub(q)
-	case hub != nil:
+	}
+	decided := false // by a hub
+	if hub != nil {
 		lease, rejection := g.askHub(hub, q)
 		if lease != nil || rejection != nil && rejection.Reason != balance.NoServer {
 			return lease, rejection
 		}
+		decided = rejection != nil
 	}
 	if q.Class == balance.Batch {
 		// No slot is free, or no hub has replied. Only a hub knows which slots are granted, so
@@ -43,7 +46,12 @@
 		return nil, &balance.Rejection{}
 	}
 	q.Instances = len(g.Alive()) + 1
-	return g.pick(q)
+	if !decided {
+		if rejection := g.admitAlone(&q); rejection != nil {
+			return g.askStandby(hub, q, rejection)
+		}
+	}
+	return g.pickCharged(q)
 }
 
 // pick picks a server by this instance's own view.
@@ -58,8 +66,12 @@
 // placeAsHub picks a server for a request of this instance, which is the hub.
 func (g *Group) placeAsHub(q balance.Query) (*fleet.Lease, *balance.Rejection) {
 	q.CompleteView = true
+	if rejection := g.admitAsHub(&q); rejection != nil {
+		return nil, rejection
+	}
 	lease, rejection := g.pick(q)
 	if rejection != nil {
+		g.ReturnQuota(q)
 		return nil, rejection
 	}
 	lease.Picker = g.opt.Name
@@ -133,6 +145,7 @@
 	// the hub would count it not at all or twice.
 	g.mu.Lock()
 	lease, ok := g.opt.View.AcceptPick(server, q)
+	g.recordQuotaReply(&q, reply.Recent, ok)
 	delete(g.pending, reply.Sequence)
 	g.mu.Unlock()
 	switch {
@@ -141,7 +154,7 @@
 		return lease, nil
 	case reply.Server != 0:
 		g.finishRequest(hub, reply.Sequence, true)
-		return nil, nil
+		return nil, &balance.Rejection{}
 	}
 	return nil, reply.rejection()
 }
--- /dev/null
+++ b/node/peers/quota.go
@@ -0,0 +1,384 @@
+package peers
+
+import (
+	"expvar"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
+	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/workspacequota"
+)
+
+const (
+	// quotaReportInterval is the minimum interval of quota reports to a hub, and
+	// idleQuotaReportInterval the interval while there is nothing new.
+	quotaReportInterval     = 200 * time.Millisecond
+	idleQuotaReportInterval = time.Second
+	// The first fullQuotaReports to a hub, and those after a gap of quotaReportGap, are full.
+	fullQuotaReports = 3
+	quotaReportGap   = 3 * time.Second
+	// overQuotaLogInterval is the time without a rejection after which the next one of a
+	// workspace is logged as a change of its state.
+	overQuotaLogInterval = 5 * time.Second
+)
+
+// quotaState is the state of the quotas of workspaces. The Group's lock guards it.
+type quotaState struct {
+	table *workspacequota.Table
+	// revision is the configuration version whose quotas are in the table, and limited is set if
+	// it has any.
+	revision int64
+	limited  bool
+	// resumedAt is the time at which this instance went on after it stood still.
+	resumedAt time.Time
+	// rejectedAt is the time of the last rejection of a workspace, for the log.
+	rejectedAt map[string]time.Time
+	counts     expvar.Map
+}
+
+// quotaReportState is the state of the quota reports to a hub.
+type quotaReportState struct {
+	sentAt      time.Time
+	incarnation uint32
+	// fullLeft is the number of reports that are to be full.
+	fullLeft int
+}
+
+func newQuotaState(name string) quotaState {
+	return quotaState{table: workspacequota.NewTable(time.Now(), xxhash.Sum64String("quota\x00"+name)), rejectedAt: map[string]time.Time{}}
+}
+
+// quotaReport reports the requests of workspaces that one instance has sent.
+type quotaReport struct {
+	Name           string       `cbor:"1,keyasint"`
+	Incarnation    uint32       `cbor:"2,keyasint"`
+	IncludedGrants uint64       `cbor:"3,keyasint"`
+	UptimeMs       int64        `cbor:"4,keyasint"`
+	Full           bool         `cbor:"5,keyasint,omitempty"`
+	Counts         []quotaCount `cbor:"6,keyasint,omitempty"`
+}
+
+// quotaCount is the count of the requests of one workspace; see workspacequota.Count.
+type quotaCount struct {
+	_         struct{} `cbor:",toarray"`
+	Workspace uint32
+	Total     int64
+	Recent    []uint32
+}
+
+// QuotaMetrics returns counters of the decisions on quotas.
+func (g *Group) QuotaMetrics() *expvar.Map { return &g.quota.counts }
+
+// quotaOf returns the quota that a request counts in, and the hash of its workspace. It returns
+// false if there is none.
+func (g *Group) quotaOf(q *balance.Query) (uint32, workspace.Quota, bool) {
+	if q.Class != balance.Online || q.Workspace == "" || q.Charged {
+		return 0, workspace.Quota{}, false
+	}
+	revision := g.opt.View.Revision()
+	if revision == nil {
+		return 0, workspace.Quota{}, false
+	}
+	w := revision.Workspaces.Workspace(q.Workspace)
+	if w == nil || !w.Quota.Limited() {
+		return 0, workspace.Quota{}, false
+	}
+	return hash(q.Workspace), w.Quota, true
+}
+
+// decideQuota decides as a hub on a request. The lock must be held.
+func (g *Group) decideQuota(now time.Time, q *balance.Query, w uint32, quota workspace.Quota) workspacequota.Verdict {
+	heardSince := time.Time{}
+	switch {
+	case now.Sub(g.quota.resumedAt) < hubWarmUp:
+		heardSince = g.quota.resumedAt
+	case !g.hub.warm(now):
+		heardSince = g.hub.begin(now)
+	}
+	verdict := g.quota.table.Decide(now, w, quota, heardSince)
+	g.recordVerdict(now, q, quota, verdict, "hub")
+	return verdict
+}
+
+// recordVerdict counts a decision, and logs it if it is the first rejection after a while. The
+// lock must be held.
+func (g *Group) recordVerdict(now time.Time, q *balance.Query, quota workspace.Quota, verdict workspacequota.Verdict, by string) {
+	if verdict.Allowed {
+		g.quota.counts.Add(by+"_allowed", 1)
+		return
+	}
+	g.quota.counts.Add(by+"_rejected", 1)
+	if now.Sub(g.quota.rejectedAt[q.Workspace]) > overQuotaLogInterval {
+		klog.InfoS("workspace over its quota", "workspace", q.Workspace, "rate", quota.Rate, "burst", quota.Burst, "decidedBy", by,
+			"retryAfter", verdict.RetryAfter, "scale", g.quota.table.Scale())
+	}
+	g.quota.rejectedAt[q.Workspace] = now
+}
+
+func overQuota(verdict workspacequota.Verdict) *balance.Rejection {
+	return &balance.Rejection{Reason: balance.OverQuota, RetryAfter: verdict.RetryAfter}
+}
+
+// grantQuota decides as a hub on a request of a peer and counts it. recent is zero if it counts
+// in no quota.
+func (g *Group) grantQuota(request *serverRequest, q *balance.Query) (recent int, rejection *balance.Rejection) {
+	w, quota, ok := g.quotaOf(q)
+	if !ok {
+		return 0, nil
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	verdict := g.decideQuota(now, q, w, quota)
+	if !verdict.Allowed {
+		return 0, overQuota(verdict)
+	}
+	g.quota.table.RecordGrant(now, request.Name, request.Sequence, w)
+	return verdict.Recent, nil
+}
+
+// dropQuotaGrant takes the grant for a peer's request back, for which there is no server.
+func (g *Group) dropQuotaGrant(request *serverRequest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quota.table.DropGrant(time.Now(), request.Name, request.Sequence)
+}
+
+// admitAsHub decides as a hub on a request of this instance and counts it as sent.
+func (g *Group) admitAsHub(q *balance.Query) *balance.Rejection {
+	w, quota, ok := g.quotaOf(q)
+	if !ok {
+		return nil
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	verdict := g.decideQuota(now, q, w, quota)
+	if !verdict.Allowed {
+		return overQuota(verdict)
+	}
+	g.quota.table.RecordReply(now, w, verdict.Recent)
+	g.quota.table.RecordSent(now, w, 1)
+	return nil
+}
+
+// admitAlone decides on a request to which no hub has replied. It does not count it.
+func (g *Group) admitAlone(q *balance.Query) *balance.Rejection {
+	w, quota, ok := g.quotaOf(q)
+	if !ok {
+		return nil
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	verdict := g.quota.table.DecideAlone(now, w, quota, len(g.peers)+1)
+	g.recordVerdict(now, q, quota, verdict, "alone")
+	if !verdict.Allowed {
+		return overQuota(verdict)
+	}
+	return nil
+}
+
+// askStandby asks the hub after the one that has not replied, for a request that this instance
+// may not send alone. It returns the rejection if there is no reply.
+func (g *Group) askStandby(asked *peer, q balance.Query, rejection *balance.Rejection) (*fleet.Lease, *balance.Rejection) {
+	standby := g.standbyOf(asked)
+	if standby == nil {
+		return nil, rejection
+	}
+	lease, reply := g.askHub(standby, q)
+	switch {
+	case lease != nil:
+		return lease, nil
+	case reply == nil:
+		return nil, rejection
+	case reply.Reason != balance.NoServer:
+		return nil, reply
+	}
+	return g.pickCharged(q)
+}
+
+// standbyOf returns the live hub other than the one that was asked; nil if there is none.
+func (g *Group) standbyOf(asked *peer) *peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, name := range g.liveHubs(time.Now()) {
+		if p := g.peers[name]; p != nil && p != asked && p.protocol >= protocolPlacements {
+			return p
+		}
+	}
+	return nil
+}
+
+// pickCharged picks a server by this instance's own view, and counts the request in its quota.
+func (g *Group) pickCharged(q balance.Query) (*fleet.Lease, *balance.Rejection) {
+	lease, rejection := g.pick(q)
+	if w, _, ok := g.quotaOf(&q); ok && rejection == nil {
+		g.mu.Lock()
+		g.quota.table.RecordSent(time.Now(), w, 1)
+		g.mu.Unlock()
+	}
+	return lease, rejection
+}
+
+// recordQuotaReply records a hub's reply to a request, which is sent if accepted is set. The
+// lock must be held.
+func (g *Group) recordQuotaReply(q *balance.Query, recent int, accepted bool) {
+	w, _, ok := g.quotaOf(q)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	g.quota.table.RecordReply(now, w, recent)
+	if accepted {
+		g.quota.table.RecordSent(now, w, 1)
+	}
+}
+
+// ReturnQuota takes a request back that was counted in its workspace's quota and has not run.
+func (g *Group) ReturnQuota(q balance.Query) {
+	q.Charged = false
+	w, _, ok := g.quotaOf(&q)
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quota.table.RecordSent(time.Now(), w, -1)
+	g.quota.counts.Add("returned", 1)
+}
+
+// updateQuotas takes over the quotas of a new configuration, and the number of the instances
+// that are heard and lost. The lock must be held.
+func (g *Group) updateQuotas(now time.Time) {
+	revision := g.opt.View.Revision()
+	if revision == nil {
+		return
+	}
+	if revision.Version != g.quota.revision {
+		g.quota.revision, g.quota.limited = revision.Version, false
+		for name, w := range revision.Workspaces.All() {
+			if w.Quota.Limited() {
+				g.quota.limited = true
+				g.quota.table.SetQuota(now, hash(name), w.Quota)
+			}
+		}
+	}
+	heard, lost := 1, 0
+	for _, p := range g.peers {
+		switch {
+		case p.live(now) && !p.leaving:
+			heard++
+		case !p.leaving && now.Sub(p.lastSign()) < peerTTL:
+			lost++
+		}
+	}
+	old := g.quota.table.Scale()
+	g.quota.table.SetReach(heard, lost)
+	if scale := g.quota.table.Scale(); g.quota.limited && (scale < 1) != (old < 1) {
+		klog.InfoS("share of the quotas that this instance grants as a hub changed", "scale", scale, "heard", heard, "lost", lost)
+	}
+}
+
+// lastSign returns the time of the last sign of the peer.
+func (p *peer) lastSign() time.Time {
+	at := p.discoveredAt
+	for _, other := range []time.Time{p.heardAt, p.listedAt} {
+		if other.After(at) {
+			at = other
+		}
+	}
+	return at
+}
+
+// begin returns the time since which the hub has heard other instances.
+func (h *hubState) begin(now time.Time) time.Time {
+	begin := now
+	for _, at := range []time.Time{h.since, h.firstSince} {
+		if !at.IsZero() && at.Before(begin) {
+			begin = at
+		}
+	}
+	return begin
+}
+
+// quotaReportDue is a quota report that is due to a hub.
+type quotaReportDue struct {
+	to     netip.AddrPort
+	report *quotaReport
+}
+
+// quotaReportsDue returns the quota reports that are due, which it records as sent. The lock
+// must be held.
+func (g *Group) quotaReportsDue(now time.Time) []quotaReportDue {
+	if !g.quota.limited {
+		return nil
+	}
+	var due []quotaReportDue
+	var reports [2]*quotaReport // changes, full
+	for _, name := range g.liveHubs(now) {
+		p := g.peers[name]
+		if p == nil || !p.addrPort.IsValid() || p.protocol < protocolPlacements {
+			continue
+		}
+		state := &p.quotaReports
+		age := now.Sub(state.sentAt)
+		if age < quotaReportInterval {
+			continue
+		}
+		if age > quotaReportGap || state.incarnation != p.Incarnation {
+			state.fullLeft, state.incarnation = fullQuotaReports, p.Incarnation
+		}
+		kind := 0
+		if state.fullLeft > 0 {
+			kind = 1
+			state.fullLeft--
+		}
+		if reports[kind] == nil {
+			reports[kind] = g.newQuotaReport(now, kind == 1)
+		}
+		if kind == 0 && len(reports[0].Counts) == 0 && age < idleQuotaReportInterval {
+			continue
+		}
+		state.sentAt = now
+		due = append(due, quotaReportDue{p.addrPort, reports[kind]})
+	}
+	return due
+}
+
+// newQuotaReport returns a report on what this instance has sent. The lock must be held.
+func (g *Group) newQuotaReport(now time.Time, full bool) *quotaReport {
+	report := &quotaReport{
+		Name: g.opt.Name, Incarnation: g.opt.Incarnation, IncludedGrants: g.includedGrants(),
+		UptimeMs: g.quota.table.Uptime(now).Milliseconds(), Full: full,
+	}
+	for _, c := range g.quota.table.Counts(now, full) {
+		report.Counts = append(report.Counts, quotaCount{Workspace: c.Workspace, Total: c.Total, Recent: c.Recent})
+	}
+	return report
+}
+
+func (g *Group) sendQuotaReports(due []quotaReportDue) {
+	for _, d := range due {
+		g.send(kindQuotaReport, d.report, d.to)
+	}
+}
+
+// onQuotaReport applies a peer's quota report.
+func (g *Group) onQuotaReport(report *quotaReport, _ netip.AddrPort) {
+	r := &workspacequota.Report{
+		Instance: report.Name, Incarnation: report.Incarnation, IncludedGrants: report.IncludedGrants,
+		Uptime: time.Duration(report.UptimeMs) * time.Millisecond, Full: report.Full,
+	}
+	for _, c := range report.Counts {
+		r.Counts = append(r.Counts, workspacequota.Count{Workspace: c.Workspace, Total: c.Total, Recent: c.Recent})
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quota.table.Apply(time.Now(), r)
+}
--- a/node/peers/rank.go
+++ b/node/peers/rank.go
@@ -55,6 +55,8 @@
 	// not asked until suspendedUntil.
 	unanswered     int
 	suspendedUntil time.Time
+	// quotaReports is the state of the quota reports to it.
+	quotaReports quotaReportState
 }
 
 // setAddress sets the address at which the peer receives datagrams and calls.
--- a/node/peers/report.go
+++ b/node/peers/report.go
@@ -68,6 +68,7 @@
 		g.recordPause(now)
 		g.livenessCheckedAt = now
 		g.updateLiveness(now)
+		g.updateQuotas(now)
 		g.preemptions.expire(now)
 	}
 	next = g.livenessCheckedAt.Add(livenessInterval)
@@ -88,7 +89,9 @@
 		}
 	}
 	isHub := g.hub.active
+	quotaReports := g.quotaReportsDue(now)
 	g.mu.Unlock()
+	g.sendQuotaReports(quotaReports)
 	if report != nil {
 		g.send(kindLoadReport, report, due...)
 	}
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -158,7 +158,7 @@
 		OutputBudget:      int(outputMemoryShare * float64(s.Limits.MemoryMB<<20)),
 	}
 	i.runner.Init()
-	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Containment: group, Origins: i.origins, Metrics: gateway.NewMetrics(), Drain: gateway.NewDrain()}
+	i.gateway = &gateway.Gateway{View: i.view, Pool: i.pool, Protocol: p.Protocol, Placer: group, Quotas: group, Containment: group, Origins: i.origins, Metrics: gateway.NewMetrics(), Drain: gateway.NewDrain()}
 	i.gateway.Buffers = budget.New(int(responseMemoryShare*float64(s.Limits.MemoryMB<<20)), responseBufferBytes)
 	i.gateway.Jobs = &jobs.Service{
 		Index: i.index, Blobs: blobStore, Runner: i.runner, Codec: p.Protocol, Revision: i.view.Revision, StorePath: i.store,
@@ -187,6 +187,7 @@
 	metrics := new(expvar.Map).Init()
 	metrics.Set("gateway", i.gateway.Metrics.Map())
 	metrics.Set("containment", i.group.ContainmentMetrics())
+	metrics.Set("workspace_quotas", i.group.QuotaMetrics())
 	metrics.Set("jobs", i.jobMetrics.Map())
 	metrics.Set("waiting_tokens", i.index.WaitingMetrics())
 	metrics.Set("store_calls", i.store.Map())
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -46,6 +46,8 @@
 	// class; 0 is the most urgent.
 	Workspace string
 	Priority  int
+	// Charged is set for a request that counts in the workspace's quota already, or not at all.
+	Charged bool
 	// Prompt holds the segments of the prompt in order. The last one is the request's or its
 	// session's own.
 	Prompt []PromptSegment
