--- a/policy/workspacequota/table.go
+++ b/policy/workspacequota/table.go
@@ -11,6 +11,8 @@
 	// freeLostShare is the share of the instances that a hub may have lost and still grants the
 	// whole quota: those that are cut off send too little to matter.
 	freeLostShare = 0.04
+	// raiseDelay is the time for which more instances have to be heard.
+	raiseDelay = 300 * time.Millisecond
 	// freeFreshShare is the share of the instances that may have started within a Window and
 	// still all requests of the Window count as known.
 	freeFreshShare = 0.1
@@ -81,8 +83,10 @@
 	spaces    map[uint32]*space
 	own       map[uint32]*usage
 	instances map[string]*instance
-	// scale is the share of the quota that this instance grants as a hub.
-	scale float64
+	// scale is the share of the quota that this instance grants as a hub, and scaleAt the last
+	// time at which it heard no more than that share.
+	scale   float64
+	scaleAt time.Duration
 	// contactAt is the time of the last reply of a hub; hadContact is set if there was one.
 	contactAt  time.Duration
 	hadContact bool
@@ -156,11 +160,17 @@
 }
 
 // SetReach records how many instances this one hears, itself included, and how many it has lost
-// that may be cut off.
-func (t *Table) SetReach(heard, lost int) {
-	t.scale = 1
+// that may be cut off. Its share of the quotas rises only once it had the time to learn what
+// instances that it hears again have sent.
+func (t *Table) SetReach(now time.Time, heard, lost int) {
+	at, scale := t.since(now), 1.0
 	if all := float64(heard + lost); float64(lost) > freeLostShare*all {
-		t.scale = float64(heard) / all
+		scale = float64(heard) / all
+	}
+	if scale <= t.scale {
+		t.scale, t.scaleAt = scale, at
+	} else if at-t.scaleAt >= raiseDelay {
+		t.scale = scale
 	}
 }
 
@@ -335,24 +345,43 @@
 func (t *Table) DecideAlone(now time.Time, w uint32, q workspace.Quota, instances int) Verdict {
 	at := t.since(now)
 	u := t.usage(w)
-	sent := float64(u.history.total(at))
 	window := perWindow(q)
 	base := float64(baseShare*window) + baseRequests
 	if !t.hadContact && at < Window {
 		base = float64(coldBaseShare*window) + coldBaseRequests
 	}
-	allowed := base / float64(max(minInstances, instances))
+	// A part of a request is allowed to a part of the instances.
+	base = base/float64(max(minInstances, instances)) + t.fraction(w, at)
+	share := 0.0
 	if t.contactAt-u.sharedAt <= Window {
-		allowed += float64(u.share * ownShare * window)
+		share = float64(u.share * ownShare)
 	}
+	most := base + float64(share*window)
 	if t.hadContact && at-t.contactAt > contactGrace {
-		allowed = min(allowed, float64(aloneShare*window)+aloneRequests)
+		most = min(most, float64(aloneShare*window)+aloneRequests)
 	}
-	// A part of a request is allowed to a part of the instances.
-	if sent+1 <= allowed+t.fraction(w, at) {
-		return Verdict{Allowed: true}
+	if float64(u.history.total(at))+1 > most || u.exceeds(at, q, share, base+1) {
+		return Verdict{RetryAfter: u.oldestLeaves(at)}
+	}
+	return Verdict{Allowed: true}
+}
+
+// exceeds reports whether, with one more request, a window that ends now has more than the
+// given share of the quota and a number beside it.
+func (u *usage) exceeds(at time.Duration, q workspace.Quota, share, beside float64) bool {
+	sum := 1.0
+	for i := range windowBins {
+		count := u.history.at(i)
+		if count == 0 {
+			continue
+		}
+		sum += float64(count)
+		age := at - time.Duration(u.history.newest-i)*binLength
+		if sum > beside+float64(share*(q.Burst+float64(q.Rate*age.Seconds()))) {
+			return true
+		}
 	}
-	return Verdict{RetryAfter: u.oldestLeaves(at)}
+	return false
 }
 
 // fraction returns a number in [0, 1) that differs between instances, workspaces and windows.
