--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -121,6 +121,7 @@
 	}
 	g.hub.tickedAt = now
 	g.hub.roster.update(now, g.heardInstances(now))
+	g.updateReach(now)
 	_, first := g.askedHub(now)
 	var rosterTo, totalsTo, hubReportsTo []netip.AddrPort
 	for _, p := range g.peers {
@@ -329,11 +330,11 @@
 // onPlacementRequest picks a server for a peer's request and replies with a placement.
 func (g *Group) onPlacementRequest(request *placementRequest, from netip.AddrPort) {
 	q := request.query()
-	recent, rejection := g.grantQuota(&request.Request, &q)
+	recent, counted, rejection := g.grantQuota(&request.Request, &q)
 	var choice balance.Choice
 	if rejection == nil {
 		choice, rejection = g.placeForPeer(&request.Request, q, from)
-		if rejection != nil && recent > 0 {
+		if rejection != nil && counted {
 			g.dropQuotaGrant(&request.Request)
 		}
 	}
--- a/node/peers/quota.go
+++ b/node/peers/quota.go
@@ -15,10 +15,18 @@
 )
 
 const (
-	// quotaReportInterval is the minimum interval of quota reports to a hub, and
+	// quotaReportInterval is the minimum interval of quota reports to the hub that is asked,
+	// which counts its grants itself, standbyQuotaReportInterval that to the other hub, and
 	// idleQuotaReportInterval the interval while there is nothing new.
-	quotaReportInterval     = 200 * time.Millisecond
-	idleQuotaReportInterval = time.Second
+	quotaReportInterval        = 300 * time.Millisecond
+	standbyQuotaReportInterval = standbyReportInterval
+	idleQuotaReportInterval    = time.Second
+	// quotaWarmUp is the time in which a new hub hears what all instances have sent.
+	quotaWarmUp = 500 * time.Millisecond
+	// silentAfter is the time after which a hub counts a silent instance as lost for the quotas,
+	// and mostSilentAfter that if most are silent.
+	silentAfter     = 700 * time.Millisecond
+	mostSilentAfter = 400 * time.Millisecond
 	// The first fullQuotaReports to a hub, and those after a gap of quotaReportGap, are full.
 	fullQuotaReports = 3
 	quotaReportGap   = 3 * time.Second
@@ -34,6 +42,8 @@
 	// it has any.
 	revision int64
 	limited  bool
+	// checkedAt is the time of the last look at the instances that are heard.
+	checkedAt time.Time
 	// resumedAt is the time at which this instance went on after it stood still.
 	resumedAt time.Time
 	// rejectedAt is the time of the last rejection of a workspace, for the log.
@@ -93,14 +103,17 @@
 
 // decideQuota decides as a hub on a request. The lock must be held.
 func (g *Group) decideQuota(now time.Time, q *balance.Query, w uint32, quota workspace.Quota) workspacequota.Verdict {
-	heardSince := time.Time{}
+	var role workspacequota.Role
 	switch {
-	case now.Sub(g.quota.resumedAt) < hubWarmUp:
-		heardSince = g.quota.resumedAt
-	case !g.hub.warm(now):
-		heardSince = g.hub.begin(now)
+	case now.Sub(g.quota.resumedAt) < quotaWarmUp:
+		role.HeardSince = g.quota.resumedAt
+	case now.Sub(g.hub.begin(now)) < quotaWarmUp:
+		role.HeardSince = g.hub.begin(now)
 	}
-	verdict := g.quota.table.Decide(now, w, quota, heardSince)
+	if hubs := g.liveHubs(now); len(hubs) > 0 {
+		role.Standby = hubs[0] != g.opt.Name
+	}
+	verdict := g.quota.table.Decide(now, w, quota, role)
 	g.recordVerdict(now, q, quota, verdict, "hub")
 	return verdict
 }
@@ -124,22 +137,22 @@
 	return &balance.Rejection{Reason: balance.OverQuota, RetryAfter: verdict.RetryAfter}
 }
 
-// grantQuota decides as a hub on a request of a peer and counts it. recent is zero if it counts
-// in no quota.
-func (g *Group) grantQuota(request *serverRequest, q *balance.Query) (recent int, rejection *balance.Rejection) {
+// grantQuota decides as a hub on a request of a peer and counts it. counted is not set
+// if it counts in no quota; recent is zero if not known.
+func (g *Group) grantQuota(request *serverRequest, q *balance.Query) (recent int, counted bool, rejection *balance.Rejection) {
 	w, quota, ok := g.quotaOf(q)
 	if !ok {
-		return 0, nil
+		return 0, false, nil
 	}
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	verdict := g.decideQuota(now, q, w, quota)
 	if !verdict.Allowed {
-		return 0, overQuota(verdict)
+		return 0, false, overQuota(verdict)
 	}
 	g.quota.table.RecordGrant(now, request.Name, request.Sequence, w)
-	return verdict.Recent, nil
+	return verdict.Recent, true, nil
 }
 
 // dropQuotaGrant takes the grant for a peer's request back, for which there is no server.
@@ -177,25 +190,29 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	verdict := g.quota.table.DecideAlone(now, w, quota, len(g.peers)+1)
-	g.recordVerdict(now, q, quota, verdict, "alone")
 	if !verdict.Allowed {
 		return overQuota(verdict)
 	}
+	g.recordVerdict(now, q, quota, verdict, "alone")
 	return nil
 }
 
 // askStandby asks the hub after the one that has not replied, for a request that this instance
 // may not send alone. It returns the rejection if there is no reply.
 func (g *Group) askStandby(asked *peer, q balance.Query, rejection *balance.Rejection) (*fleet.Lease, *balance.Rejection) {
-	standby := g.standbyOf(asked)
-	if standby == nil {
-		return nil, rejection
+	var lease *fleet.Lease
+	var reply *balance.Rejection
+	if standby := g.standbyOf(asked); standby != nil {
+		lease, reply = g.askHub(standby, q)
 	}
-	lease, reply := g.askHub(standby, q)
 	switch {
 	case lease != nil:
 		return lease, nil
 	case reply == nil:
+		_, quota, _ := g.quotaOf(&q)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.recordVerdict(time.Now(), &q, quota, workspacequota.Verdict{RetryAfter: rejection.RetryAfter}, "alone")
 		return nil, rejection
 	case reply.Reason != balance.NoServer:
 		return nil, reply
@@ -253,8 +270,7 @@
 	g.quota.counts.Add("returned", 1)
 }
 
-// updateQuotas takes over the quotas of a new configuration, and the number of the instances
-// that are heard and lost. The lock must be held.
+// updateQuotas takes over the quotas of a new configuration. The lock must be held.
 func (g *Group) updateQuotas(now time.Time) {
 	revision := g.opt.View.Revision()
 	if revision == nil {
@@ -269,15 +285,34 @@
 			}
 		}
 	}
-	heard, lost := 1, 0
+}
+
+// updateReach records how many instances this one hears and how many it has lost. The lock must
+// be held.
+func (g *Group) updateReach(now time.Time) {
+	// A hub hears from all live instances every maxReportInterval, unless it stood still itself.
+	attentive := g.hub.active && now.Sub(g.quota.checkedAt) < livenessInterval
+	g.quota.checkedAt = now
+	heard, heardLately, lost := 1, 1, 0
 	for _, p := range g.peers {
+		silence := time.Duration(0)
+		if attentive && !p.reportedAt.IsZero() {
+			silence = now.Sub(p.reportedAt)
+		}
 		switch {
-		case p.live(now) && !p.leaving:
+		case p.leaving:
+		case p.live(now) && silence < silentAfter:
 			heard++
-		case !p.leaving && now.Sub(p.lastSign()) < peerTTL:
+			if silence < mostSilentAfter {
+				heardLately++
+			}
+		case now.Sub(p.lastSign()) < peerTTL:
 			lost++
 		}
 	}
+	if 2*heardLately < heard {
+		heard, lost = heardLately, lost+heard-heardLately
+	}
 	old := g.quota.table.Scale()
 	g.quota.table.SetReach(now, heard, lost)
 	if scale := g.quota.table.Scale(); g.quota.limited && (scale < 1) != (old < 1) {
@@ -299,10 +334,11 @@
 // begin returns the time since which the hub has heard other instances.
 func (h *hubState) begin(now time.Time) time.Time {
 	begin := now
-	for _, at := range []time.Time{h.since, h.firstSince} {
-		if !at.IsZero() && at.Before(begin) {
-			begin = at
-		}
+	if h.active {
+		begin = h.since
+	}
+	if !h.firstSince.IsZero() && h.firstSince.Before(begin) {
+		begin = h.firstSince
 	}
 	return begin
 }
@@ -321,14 +357,18 @@
 	}
 	var due []quotaReportDue
 	var reports [2]*quotaReport // changes, full
+	asked, _ := g.askedHub(now)
 	for _, name := range g.liveHubs(now) {
 		p := g.peers[name]
 		if p == nil || !p.addrPort.IsValid() || p.protocol < protocolPlacements {
 			continue
 		}
 		state := &p.quotaReports
-		age := now.Sub(state.sentAt)
-		if age < quotaReportInterval {
+		age, interval := now.Sub(state.sentAt), standbyQuotaReportInterval
+		if p == asked && state.fullLeft == 0 {
+			interval = quotaReportInterval
+		}
+		if age < interval {
 			continue
 		}
 		if age > quotaReportGap || state.incarnation != p.Incarnation {
--- a/node/peers/report.go
+++ b/node/peers/report.go
@@ -69,6 +69,9 @@
 		g.livenessCheckedAt = now
 		g.updateLiveness(now)
 		g.updateQuotas(now)
+		if !g.hub.active {
+			g.updateReach(now)
+		}
 		g.preemptions.expire(now)
 	}
 	next = g.livenessCheckedAt.Add(livenessInterval)
--- a/policy/workspacequota/fleet_test.go
+++ b/policy/workspacequota/fleet_test.go
@@ -1,6 +1,7 @@
 package workspacequota
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -16,11 +17,17 @@
 	factor = 1.1
 	slack  = 20
 	// lostAfter is the time after which an instance that is not heard is taken for lost.
-	lostAfter  = 1500 * time.Millisecond
-	testReport = 200 * time.Millisecond
-	step       = 10 * time.Millisecond
+	lostAfter = 1500 * time.Millisecond
+	// silentAfter is the time after which a hub counts it as lost for the quotas, and
+	// mostSilentAfter that if most are silent.
+	silentAfter     = 700 * time.Millisecond
+	mostSilentAfter = 400 * time.Millisecond
+	testReport      = 200 * time.Millisecond
+	step            = 10 * time.Millisecond
 )
 
+var seedCount = flag.Uint64("seeds", 20, "seeds of each scenario")
+
 var epoch = time.Date(2026, 12, 6, 8, 0, 0, 0, time.UTC)
 
 // member is one instance of a fleet.
@@ -39,6 +46,7 @@
 	unanswered       map[int]int
 	suspended        map[int]time.Time
 	nextReport       time.Time
+	reports          int
 }
 
 // fleet is a number of instances that rank as hubs in their order.
@@ -98,12 +106,14 @@
 }
 
 // believesIn reports whether an instance takes another one for live.
-func (f *fleet) believesIn(m, other *member) bool {
+func (f *fleet) believesIn(m, other *member) bool { return f.heard(m, other, lostAfter) }
+
+func (f *fleet) heard(m, other *member, within time.Duration) bool {
 	if m == other || m.reaches(other) {
 		return true
 	}
 	before := !other.downBefore && m.partBefore == other.partBefore
-	return before && f.now.Sub(other.changedAt) < lostAfter || m.part != m.partBefore && f.now.Sub(m.changedAt) < lostAfter
+	return before && f.now.Sub(other.changedAt) < within || m.part != m.partBefore && f.now.Sub(m.changedAt) < within
 }
 
 // hubs returns the two hubs of an instance.
@@ -140,18 +150,28 @@
 			continue
 		}
 		m.nextReport = f.now.Add(testReport)
-		heard := 0
+		heard, heardLately := 0, 0
 		for _, other := range f.members {
-			if f.believesIn(m, other) {
+			if f.heard(m, other, silentAfter) {
 				heard++
 			}
+			if f.heard(m, other, mostSilentAfter) {
+				heardLately++
+			}
+		}
+		if 2*heardLately < heard {
+			heard = heardLately
 		}
 		m.table.SetReach(f.now, heard, len(f.members)-heard)
 		for w, q := range quotas {
 			m.table.SetQuota(f.now, w, q)
 		}
-		for _, h := range f.hubs(m) {
+		m.reports++
+		for rank, h := range f.hubs(m) {
 			hub := f.members[h]
+			if left, ok := m.fullLeft[h]; rank == 0 && m.reports%3 != 0 && ok && left == 0 {
+				continue // it counts its grants itself
+			}
 			if hub == m || !m.reaches(hub) {
 				delete(m.fullLeft, h)
 				continue
@@ -187,10 +207,10 @@
 			}
 			hub.reportedAt = f.now
 			since := hub.heardSince
-			if f.now.Sub(since) > 300*time.Millisecond {
+			if f.now.Sub(since) > 500*time.Millisecond {
 				since = time.Time{}
 			}
-			v := hub.table.Decide(f.now, w, q, since)
+			v := hub.table.Decide(f.now, w, q, Role{HeardSince: since, Standby: f.hubs(hub)[0] != h})
 			if !v.Allowed {
 				return false
 			}
@@ -363,7 +383,7 @@
 	f := newFleet(seed, s.instances(random))
 	var loads []*load
 	for i := range 12 {
-		l := &load{quota: workspace.Quota{Rate: []float64{2, 10, 80}[i%3], Burst: []float64{4, 10, 60}[i%3]}, hot: 1}
+		l := &load{quota: workspace.Quota{Rate: []float64{2, 10, 80, 380}[i%4], Burst: []float64{4, 10, 60, 380}[i%4]}, hot: 1}
 		if i < 4 {
 			l.hot = 3 + 6*random.Float64()
 		}
@@ -423,9 +443,9 @@
 // requests within it that are refused, while hubs are killed or frozen, instances are cut off,
 // all are killed, and quotas change.
 func TestQuotaOverAllInstances(t *testing.T) {
-	seeds := uint64(20)
+	seeds := *seedCount
 	if testing.Short() {
-		seeds = 4
+		seeds = 2
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
--- a/policy/workspacequota/limit.go
+++ b/policy/workspacequota/limit.go
@@ -9,7 +9,7 @@
 const (
 	// A hub may grant extraShare of what a window allows, and extraRequests, beyond the quota:
 	// the requests of a workspace that stays below its quota on average do not come evenly.
-	extraShare    = 0.03
+	extraShare    = 0.01
 	extraRequests = 6
 	// minExtra is the least factor of that where a hub grants only a share of the quota.
 	minExtra = 0.5
--- a/policy/workspacequota/table.go
+++ b/policy/workspacequota/table.go
@@ -11,8 +11,11 @@
 	// freeLostShare is the share of the instances that a hub may have lost and still grants the
 	// whole quota: those that are cut off send too little to matter.
 	freeLostShare = 0.04
+	// standbyShare is the share of the quota that the standby grants while it takes the first
+	// hub for live.
+	standbyShare = 0.85
 	// raiseDelay is the time for which more instances have to be heard.
-	raiseDelay = 300 * time.Millisecond
+	raiseDelay = 400 * time.Millisecond
 	// freeFreshShare is the share of the instances that may have started within a Window and
 	// still all requests of the Window count as known.
 	freeFreshShare = 0.1
@@ -69,8 +72,8 @@
 	Allowed bool
 	// RetryAfter is the time after which a rejected request is likely to be allowed.
 	RetryAfter time.Duration
-	// Recent is the number of requests of the workspace in the last Window, over all instances
-	// that the hub knows, this one included.
+	// Recent is the number of requests of the workspace in the last Window, over all instances,
+	// this one included; zero if the hub does not know all of them.
 	Recent int
 }
 
@@ -120,6 +123,7 @@
 type grant struct {
 	sequence  uint64
 	workspace uint32
+	at        time.Duration
 }
 
 // NewTable returns the table of an instance that starts now. seed differs between instances.
@@ -177,22 +181,37 @@
 // Scale returns the share of the quotas that this instance grants as a hub.
 func (t *Table) Scale() float64 { return t.scale }
 
-// Decide decides as a hub on a request. heardSince is the time since which the hub has heard the
-// other instances, if it has not yet had the time to learn of all of them, and otherwise zero.
-// The request is not counted: see RecordGrant and RecordSent.
-func (t *Table) Decide(now time.Time, w uint32, q workspace.Quota, heardSince time.Time) Verdict {
+// Role is the state of the hub that decides.
+type Role struct {
+	// HeardSince is the time since which it has heard the other instances, if it has not yet had
+	// the time to learn of all of them, and otherwise zero.
+	HeardSince time.Time
+	// Standby is set while it takes the first hub for live, which may be granting too.
+	Standby bool
+}
+
+// Decide decides as a hub on a request. The request is not counted: see RecordGrant and
+// RecordSent.
+func (t *Table) Decide(now time.Time, w uint32, q workspace.Quota, role Role) Verdict {
 	at := t.since(now)
 	s := t.space(w)
 	s.setQuota(at, q)
 	t.refresh(at)
 	b := basis{scale: t.scale, knownSince: t.freshSince}
-	if !heardSince.IsZero() {
-		b.knownSince = max(b.knownSince, t.since(heardSince))
+	if role.Standby {
+		b.scale *= standbyShare
+	}
+	if !role.HeardSince.IsZero() {
+		b.knownSince = max(b.knownSince, t.since(role.HeardSince))
 	}
 	if wait := s.wait(at, b); wait > 0 {
 		return Verdict{RetryAfter: s.retryAfter(at, wait)}
 	}
-	return Verdict{Allowed: true, Recent: int(s.history.total(at)) + 1}
+	verdict := Verdict{Allowed: true}
+	if at-b.knownSince >= Window {
+		verdict.Recent = int(s.history.total(at)) + 1
+	}
+	return verdict
 }
 
 // SetQuota records the quota in force, in case that this instance becomes a hub.
@@ -239,7 +258,7 @@
 	if i.reportedAt == 0 {
 		i.reportedAt = at
 	}
-	i.grants = append(i.grants, grant{sequence, w})
+	i.grants = append(i.grants, grant{sequence, w, at})
 	t.space(w).history.add(at, 0, 1)
 }
 
@@ -260,7 +279,9 @@
 	at := t.since(now)
 	i := t.instance(r.Instance)
 	if i.incarnation != r.Incarnation {
-		*i = instance{incarnation: r.Incarnation, totals: map[uint32]int64{}}
+		startedAt := at - r.Uptime
+		earlier := func(g grant) bool { return g.at < startedAt }
+		*i = instance{incarnation: r.Incarnation, totals: map[uint32]int64{}, grants: slices.DeleteFunc(i.grants, earlier)}
 	}
 	i.reportedAt = max(1, at)
 	i.startedAt = at - max(0, r.Uptime)
