--- a/node/peers/quota_test.go
+++ b/node/peers/quota_test.go
@@ -52,7 +52,7 @@
 // and first one hub is stopped and then the other.
 func TestWorkspaceQuotaWhileHubsAreLost(t *testing.T) {
 	t.Run("losses", func(t *testing.T) { testWorkspaceQuota(t, 5*time.Millisecond, 0.01) })
-	t.Run("late replies", func(t *testing.T) { testWorkspaceQuota(t, 15*time.Millisecond, 0.4) })
+	t.Run("late replies", func(t *testing.T) { testWorkspaceQuota(t, 15*time.Millisecond, 0.2) })
 }
 
 // testWorkspaceQuota refuses at most maxRefused of the requests within the quota.
@@ -82,7 +82,9 @@
 			}
 			for _, run := range []func(){
 				func() { hot.quotaLoad(n, "hot", 50*time.Millisecond, start.Add(30*time.Second)) },
-				func() { usual.quotaLoad(n, "usual", time.Duration(300+20*i)*time.Millisecond, start.Add(30*time.Second)) },
+				func() {
+					usual.quotaLoad(n, "usual", time.Duration(300+20*i)*time.Millisecond, start.Add(30*time.Second))
+				},
 			} {
 				done := make(chan struct{})
 				running = append(running, done)
