--- a/node/peers/quota.go
+++ b/node/peers/quota.go
@@ -19,7 +19,7 @@
 	// which counts its grants itself, standbyQuotaReportInterval that to the other hub, and
 	// idleQuotaReportInterval the interval while there is nothing new.
 	quotaReportInterval        = 300 * time.Millisecond
-	standbyQuotaReportInterval = standbyReportInterval
+	standbyQuotaReportInterval = 150 * time.Millisecond
 	idleQuotaReportInterval    = time.Second
 	// quotaWarmUp is the time in which a new hub hears what all instances have sent.
 	quotaWarmUp = 500 * time.Millisecond
@@ -27,6 +27,8 @@
 	// and mostSilentAfter that if most are silent.
 	silentAfter     = 700 * time.Millisecond
 	mostSilentAfter = 400 * time.Millisecond
+	// reportSlack is how much later than its interval a report may be.
+	reportSlack = 50 * time.Millisecond
 	// The first fullQuotaReports to a hub, and those after a gap of quotaReportGap, are full.
 	fullQuotaReports = 3
 	quotaReportGap   = 3 * time.Second
@@ -65,7 +67,7 @@
 
 // quotaReport reports the requests of workspaces that one instance has sent.
 type quotaReport struct {
-	Name           string       `cbor:"1,keyasint"`
+	Instance       uint32       `cbor:"1,keyasint"` // the hash of its name
 	Incarnation    uint32       `cbor:"2,keyasint"`
 	IncludedGrants uint64       `cbor:"3,keyasint"`
 	UptimeMs       int64        `cbor:"4,keyasint"`
@@ -356,7 +358,7 @@
 		return nil
 	}
 	var due []quotaReportDue
-	var reports [2]*quotaReport // changes, full
+	var reports [3]*quotaReport // changes for the standby, for the hub that is asked, full
 	asked, _ := g.askedHub(now)
 	for _, name := range g.liveHubs(now) {
 		p := g.peers[name]
@@ -375,14 +377,18 @@
 			state.fullLeft, state.incarnation = fullQuotaReports, p.Incarnation
 		}
 		kind := 0
-		if state.fullLeft > 0 {
-			kind = 1
+		switch {
+		case state.fullLeft > 0:
+			kind = 2
 			state.fullLeft--
+		case p == asked:
+			kind = 1
 		}
 		if reports[kind] == nil {
-			reports[kind] = g.newQuotaReport(now, kind == 1)
+			// Each change is reported twice, in case that a datagram is lost.
+			reports[kind] = g.newQuotaReport(now, kind == 2, 2*interval+reportSlack)
 		}
-		if kind == 0 && len(reports[0].Counts) == 0 && age < idleQuotaReportInterval {
+		if kind < 2 && len(reports[kind].Counts) == 0 && age < idleQuotaReportInterval {
 			continue
 		}
 		state.sentAt = now
@@ -391,13 +397,14 @@
 	return due
 }
 
-// newQuotaReport returns a report on what this instance has sent. The lock must be held.
-func (g *Group) newQuotaReport(now time.Time, full bool) *quotaReport {
+// newQuotaReport returns a report on what this instance has sent, and unless it is full only on
+// what changed within the given time. The lock must be held.
+func (g *Group) newQuotaReport(now time.Time, full bool, within time.Duration) *quotaReport {
 	report := &quotaReport{
-		Name: g.opt.Name, Incarnation: g.opt.Incarnation, IncludedGrants: g.includedGrants(),
+		Instance: hash(g.opt.Name), Incarnation: g.opt.Incarnation, IncludedGrants: g.includedGrants(),
 		UptimeMs: g.quota.table.Uptime(now).Milliseconds(), Full: full,
 	}
-	for _, c := range g.quota.table.Counts(now, full) {
+	for _, c := range g.quota.table.Counts(now, full, within) {
 		report.Counts = append(report.Counts, quotaCount{Workspace: c.Workspace, Total: c.Total, Recent: c.Recent})
 	}
 	return report
@@ -412,7 +419,7 @@
 // onQuotaReport applies a peer's quota report.
 func (g *Group) onQuotaReport(report *quotaReport, _ netip.AddrPort) {
 	r := &workspacequota.Report{
-		Instance: report.Name, Incarnation: report.Incarnation, IncludedGrants: report.IncludedGrants,
+		Incarnation: report.Incarnation, IncludedGrants: report.IncludedGrants,
 		Uptime: time.Duration(report.UptimeMs) * time.Millisecond, Full: report.Full,
 	}
 	for _, c := range report.Counts {
@@ -420,5 +427,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quota.table.Apply(time.Now(), r)
+	if p := g.peersByHash[report.Instance]; p != nil {
+		r.Instance = p.name
+		g.quota.table.Apply(time.Now(), r)
+	}
 }
--- a/node/peers/quota_test.go
+++ b/node/peers/quota_test.go
@@ -159,3 +159,26 @@
 		}
 	})
 }
+
+// Guards against quota reports that take more than half of the 2 KB a second that an instance may
+// spend on control: 8.2 requests a second of as many workspaces, of which the standby gets a
+// report each 150 ms.
+func TestBytesOfQuotaReports(t *testing.T) {
+	const requestsPerSecond = 3200.0 / 390
+	perSecond := 0.0
+	for _, interval := range []time.Duration{quotaReportInterval, standbyQuotaReportInterval} {
+		report := &quotaReport{Instance: 1 << 31, Incarnation: 1 << 31, IncludedGrants: 1 << 20, UptimeMs: 60000}
+		for range int(requestsPerSecond*(2*interval+reportSlack).Seconds() + 1) {
+			report.Counts = append(report.Counts, quotaCount{Workspace: 1 << 31, Total: 1 << 12})
+		}
+		raw, err := encode(kindQuotaReport, report)
+		if err != nil {
+			t.Fatal(err)
+		}
+		perSecond += float64(len(raw)) / interval.Seconds()
+	}
+	t.Logf("%.0f bytes a second", perSecond)
+	if perSecond > 1000 {
+		t.Errorf("%.0f bytes a second", perSecond)
+	}
+}
--- a/policy/workspacequota/fleet_test.go
+++ b/policy/workspacequota/fleet_test.go
@@ -169,7 +169,7 @@
 		m.reports++
 		for rank, h := range f.hubs(m) {
 			hub := f.members[h]
-			if left, ok := m.fullLeft[h]; rank == 0 && m.reports%3 != 0 && ok && left == 0 {
+			if left, ok := m.fullLeft[h]; rank == 0 && m.reports%2 != 0 && ok && left == 0 {
 				continue // it counts its grants itself
 			}
 			if hub == m || !m.reaches(hub) {
@@ -186,7 +186,7 @@
 			}
 			r := Report{
 				Instance: m.name, Incarnation: m.incarnation, IncludedGrants: f.sequence, Uptime: m.table.Uptime(f.now), Full: full,
-				Counts: m.table.Counts(f.now, full),
+				Counts: m.table.Counts(f.now, full, testReport*time.Duration(4-2*rank)+50*time.Millisecond),
 			}
 			f.late = append(f.late, lateReport{f.now.Add(time.Duration(1+f.random.IntN(30)) * time.Millisecond), h, r})
 		}
@@ -249,9 +249,9 @@
 	// hot is the factor of its usual rate that it sends in the middle of the test.
 	hot float64
 	// callers are the instances of its callers.
-	callers                 []int
-	asked, refused, hotSent int
-	sent                    []time.Time
+	callers        []int
+	asked, refused int
+	sent           []time.Time
 	// allowed is the largest quota in force in the last window.
 	allowed []workspace.Quota
 }
--- a/policy/workspacequota/table.go
+++ b/policy/workspacequota/table.go
@@ -34,8 +34,6 @@
 	contactGrace  = 2500 * time.Millisecond
 	// minInstances is the least number of instances that is assumed.
 	minInstances = 8
-	// repeatTime is the time for which a changed count is repeated in reports.
-	repeatTime = 700 * time.Millisecond
 	// forgetAfter is the time after which an instance that does not report is forgotten.
 	forgetAfter = 2 * time.Minute
 	// refreshInterval is the interval at which the ages of the instances are looked at.
@@ -430,15 +428,15 @@
 }
 
 // Counts returns what a report contains: all workspaces of the last Window in a full one,
-// otherwise those that changed lately.
-func (t *Table) Counts(now time.Time, full bool) []Count {
+// otherwise those that changed within the given time.
+func (t *Table) Counts(now time.Time, full bool, within time.Duration) []Count {
 	at := t.since(now)
 	var list []Count
 	for w, u := range t.own {
 		switch {
 		case full && (u.history.total(at) > 0 || at-u.changedAt <= Window):
 			list = append(list, Count{Workspace: w, Total: u.total, Recent: u.history.recent(at)})
-		case !full && at-u.changedAt <= repeatTime:
+		case !full && at-u.changedAt <= within:
 			list = append(list, Count{Workspace: w, Total: u.total})
 		}
 	}
