--- a/node/peers/quota.go
+++ b/node/peers/quota.go
@@ -62,7 +62,7 @@
 }
 
 func newQuotaState(name string) quotaState {
-	return quotaState{table: workspacequota.NewTable(time.Now(), xxhash.Sum64String("quota\x00"+name)), rejectedAt: map[string]time.Time{}}
+	return quotaState{table: workspacequota.NewTable(time.Now(), xxhash.Sum64String("quota\x00"+name)), rejectedAt: map[string]time.Time{}, revision: -1}
 }
 
 // quotaReport reports the requests of workspaces that one instance has sent.
--- a/node/peers/quota_test.go
+++ b/node/peers/quota_test.go
@@ -125,6 +125,49 @@
 	})
 }
 
+// Guards against a quota that does not bind, that binds after it was raised or removed, or that
+// counts what it does not apply to; and against a refusal without a time to return.
+func TestWorkspaceQuotaChanges(t *testing.T) {
+	inVirtualTime(t, 1, func(t *testing.T, net *network) {
+		nodes := startAll(t, net, 3, 3, 8)
+		time.Sleep(8 * time.Second) // the instances are not new any more
+		sent := func(q balance.Query) int {
+			for i := range 100 {
+				lease, rejection := nodes[i%3].group.Place(q)
+				if rejection == nil {
+					lease.End(balance.Answered)
+					continue
+				}
+				if rejection.Reason != balance.OverQuota || rejection.RetryAfter <= 0 || rejection.RetryAfter > workspacequota.Window {
+					t.Errorf("%+v", rejection)
+				}
+				return i
+			}
+			return 100
+		}
+		hot := balance.Query{Service: "svc", Workspace: "hot"}
+		for version, c := range []struct {
+			quota       workspace.Quota
+			least, most int
+		}{{workspace.Quota{Rate: 1, Burst: 10}, 10, 17}, {workspace.Quota{Rate: 1, Burst: 30}, 19, 22}, {workspace.Quota{}, 100, 100}} {
+			for _, n := range nodes {
+				setQuotas(n, int64(version+1), c.quota)
+			}
+			time.Sleep(livenessInterval)
+			if n := sent(hot); n < c.least || n > c.most {
+				t.Errorf("%+v: %d sent, want %d to %d", c.quota, n, c.least, c.most)
+			}
+		}
+		for _, n := range nodes {
+			setQuotas(n, 9, workspace.Quota{Rate: 1, Burst: 1})
+		}
+		hot.Charged = true
+		if n := sent(hot); n < 100 {
+			t.Errorf("%d of 100 requests that count in no quota sent", n)
+		}
+	})
+}
+
 // Guards against a hub that counts a request twice: when it grants it and when the report that
 // includes it arrives.
 func TestWorkspaceQuotaCountsOnce(t *testing.T) {
