--- a/policy/workspacequota/table.go
+++ b/policy/workspacequota/table.go
@@ -36,6 +36,9 @@
 	minInstances = 8
 	// forgetAfter is the time after which an instance that does not report is forgotten.
 	forgetAfter = 2 * time.Minute
+	// ownStart is the time of an instance's start in its table, so that there is room for what
+	// others sent before.
+	ownStart = 2 * Window
 	// refreshInterval is the interval at which the ages of the instances are looked at.
 	refreshInterval = 100 * time.Millisecond
 )
@@ -78,6 +81,7 @@
 // Table is what one instance knows of the requests of all workspaces. A Table serves both as the
 // instance's own count and, on a hub, as that of all instances.
 type Table struct {
+	// start is the zero of all durations, ownStart before the start of the instance.
 	start time.Time
 	// seed makes the base shares of instances differ.
 	seed      uint64
@@ -127,11 +131,11 @@
 // NewTable returns the table of an instance that starts now. seed differs between instances.
 func NewTable(now time.Time, seed uint64) *Table {
 	return &Table{
-		start: now, seed: seed, scale: 1, spaces: map[uint32]*space{}, own: map[uint32]*usage{}, instances: map[string]*instance{},
+		start: now.Add(-ownStart), seed: seed, scale: 1, spaces: map[uint32]*space{}, own: map[uint32]*usage{}, instances: map[string]*instance{},
 	}
 }
 
-// since returns a time as a duration since the start.
+// since returns a time as a duration since t.start.
 func (t *Table) since(now time.Time) time.Duration { return max(0, now.Sub(t.start)) }
 
 func (t *Table) space(w uint32) *space {
@@ -231,7 +235,7 @@
 			oldest = min(oldest, startedAt)
 		}
 	}
-	count(0)
+	count(ownStart)
 	for name, i := range t.instances {
 		if at-i.reportedAt > forgetAfter {
 			delete(t.instances, name)
@@ -277,8 +281,7 @@
 	at := t.since(now)
 	i := t.instance(r.Instance)
 	if i.incarnation != r.Incarnation {
-		startedAt := at - r.Uptime
-		earlier := func(g grant) bool { return g.at < startedAt }
+		earlier := func(g grant) bool { return g.at < at-r.Uptime }
 		*i = instance{incarnation: r.Incarnation, totals: map[uint32]int64{}, grants: slices.DeleteFunc(i.grants, earlier)}
 	}
 	i.reportedAt = max(1, at)
@@ -366,7 +369,7 @@
 	u := t.usage(w)
 	window := perWindow(q)
 	base := float64(baseShare*window) + baseRequests
-	if !t.hadContact && at < Window {
+	if !t.hadContact && at-ownStart < Window {
 		base = float64(coldBaseShare*window) + coldBaseRequests
 	}
 	// A part of a request is allowed to a part of the instances.
@@ -444,4 +447,4 @@
 }
 
 // Uptime returns the time since the instance started, a minute at most.
-func (t *Table) Uptime(now time.Time) time.Duration { return min(time.Minute, t.since(now)) }
+func (t *Table) Uptime(now time.Time) time.Duration { return min(time.Minute, t.since(now)-ownStart) }
