--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -202,6 +202,8 @@
 	OutputTokens int64           `cbor:"5,keyasint,omitempty"`
 	// Charged is set if the request counts in the workspace's quota already, or not at all.
 	Charged bool `cbor:"6,keyasint,omitempty"`
+	// Bytes is the size of the body.
+	Bytes int64 `cbor:"20,keyasint,omitempty"`
 }
 
 // promptSegment is a segment of a prompt.
@@ -298,7 +300,8 @@
 // query returns the query of a placement request.
 func (r *placementRequest) query() balance.Query {
 	q := r.Request.query()
-	q.Workspace, q.Priority, q.Charged, q.PromptTokens, q.OutputTokens = r.Workspace, r.Priority, r.Charged, r.PromptTokens, r.OutputTokens
+	q.Workspace, q.Priority, q.Charged = r.Workspace, r.Priority, r.Charged
+	q.PromptTokens, q.OutputTokens, q.Bytes = r.PromptTokens, r.OutputTokens, r.Bytes
 	for _, s := range r.Prompt {
 		q.Prompt = append(q.Prompt, balance.PromptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
@@ -307,7 +310,10 @@
 
 // newPlacementRequest returns the placement request of a query.
 func newPlacementRequest(request *serverRequest, q *balance.Query) *placementRequest {
-	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, Charged: q.Charged, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens}
+	r := &placementRequest{
+		Request: *request, Workspace: q.Workspace, Priority: q.Priority, Charged: q.Charged,
+		PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Bytes: q.Bytes,
+	}
 	for _, s := range q.Prompt {
 		r.Prompt = append(r.Prompt, promptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
