--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -40,6 +40,7 @@
 	kindOriginReply
 	kindPlacementRequest
 	kindPlacement
+	kindQuotaReport
 )
 
 // Versions of the protocol between instances. An instance states the version that it
@@ -199,6 +200,8 @@
 	Prompt       []promptSegment `cbor:"3,keyasint,omitempty"`
 	PromptTokens int64           `cbor:"4,keyasint,omitempty"`
 	OutputTokens int64           `cbor:"5,keyasint,omitempty"`
+	// Charged is set if the request counts in the workspace's quota already, or not at all.
+	Charged bool `cbor:"6,keyasint,omitempty"`
 	// Bytes is the size of the body.
 	Bytes int64 `cbor:"20,keyasint,omitempty"`
 }
@@ -217,6 +220,8 @@
 	Server       uint32 `cbor:"2,keyasint,omitempty"`
 	Reason       uint8  `cbor:"3,keyasint,omitempty"`
 	RetryAfterMs int64  `cbor:"4,keyasint,omitempty"`
+	// Recent is the number of requests of the workspace in the last window of its quota.
+	Recent int `cbor:"5,keyasint,omitempty"`
 }
 
 // grant is a hub's reply to a serverRequest; Server is zero if no server is available.
@@ -295,7 +300,8 @@
 // query returns the query of a placement request.
 func (r *placementRequest) query() balance.Query {
 	q := r.Request.query()
-	q.Workspace, q.Priority, q.PromptTokens, q.OutputTokens, q.Bytes = r.Workspace, r.Priority, r.PromptTokens, r.OutputTokens, r.Bytes
+	q.Workspace, q.Priority, q.Charged = r.Workspace, r.Priority, r.Charged
+	q.PromptTokens, q.OutputTokens, q.Bytes = r.PromptTokens, r.OutputTokens, r.Bytes
 	for _, s := range r.Prompt {
 		q.Prompt = append(q.Prompt, balance.PromptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
@@ -304,7 +310,10 @@
 
 // newPlacementRequest returns the placement request of a query.
 func newPlacementRequest(request *serverRequest, q *balance.Query) *placementRequest {
-	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Bytes: q.Bytes}
+	r := &placementRequest{
+		Request: *request, Workspace: q.Workspace, Priority: q.Priority, Charged: q.Charged,
+		PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Bytes: q.Bytes,
+	}
 	for _, s := range q.Prompt {
 		r.Prompt = append(r.Prompt, promptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
--- a/node/peers/report.go
+++ b/node/peers/report.go
@@ -68,6 +68,10 @@
 		g.recordPause(now)
 		g.livenessCheckedAt = now
 		g.updateLiveness(now)
+		g.updateQuotas(now)
+		if !g.hub.active {
+			g.updateReach(now)
+		}
 		g.preemptions.expire(now)
 	}
 	next = g.livenessCheckedAt.Add(livenessInterval)
@@ -88,7 +92,9 @@
 		}
 	}
 	isHub := g.hub.active
+	quotaReports := g.quotaReportsDue(now)
 	g.mu.Unlock()
+	g.sendQuotaReports(quotaReports)
 	if report != nil {
 		g.send(kindLoadReport, report, due...)
 	}
