--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -234,7 +234,7 @@
 		case q.Class == Batch && (!s.hasBatchSlot(q.Headroom, smallServersFull) || s.failureRate(now) > maxBatchFailureRate || t.isReserved(s)):
 		default:
 			tier := s.tier()
-			score := s.score(now, q, tier, median) - s.keptBenefit(kept, q.Class, meanRecent)
+			score := s.score(now, q, tier, median) - s.keptBenefit(kept, &q, meanRecent)
 			if memory.overflows(now, s, &q) {
 				if q.Class == Batch {
 					continue
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -15,9 +15,10 @@
 	// It is small against a wait for a slot, so that segments that many requests share spread
 	// over the servers.
 	maxKeptRequests = 2.25
-	// batchKeptShare is the weight for a batch request in relation to that for an online one. It
-	// holds its slot for much longer, so that the speed of the server outweighs what it reads.
-	batchKeptShare = 0.1
+	// minorKeptShare is the share of the weight for a batch request, which holds its slot for so
+	// long that the speed of the server outweighs what it reads, and for a server in another data
+	// centre, since the way there outweighs it.
+	minorKeptShare = 0.1
 	// busyFactor is the ratio of a server's recent requests to the mean of its service above which
 	// it is not preferred for what it keeps. recentPerServer is the number of requests for each
 	// server after which a request counts little as a recent one, and maxRecentWeight the weight
@@ -121,7 +122,7 @@
 
 // keptBenefit returns the amount by which a server's score falls for what it keeps of the prompt
 // of the last lookup. meanRecent is the mean of the recent requests of the servers.
-func (s *serverState) keptBenefit(cache *promptcache.Cache, class Class, meanRecent float64) float64 {
+func (s *serverState) keptBenefit(cache *promptcache.Cache, q *Query, meanRecent float64) float64 {
 	if cache == nil || s.kept == nil {
 		return 0
 	}
@@ -130,8 +131,8 @@
 		return 0
 	}
 	benefit := min(float64(tokens)/tokensPerRequest, maxKeptRequests) / float64(s.slots())
-	if class == Batch {
-		return benefit * batchKeptShare
+	if q.Class == Batch || q.DataCentre != "" && s.server.DataCentre != q.DataCentre {
+		return benefit * minorKeptShare
 	}
 	return benefit
 }
