--- a/node/peers/quota.go
+++ b/node/peers/quota.go
@@ -317,7 +317,7 @@
 	}
 	old := g.quota.table.Scale()
 	g.quota.table.SetReach(now, heard, lost)
-	if scale := g.quota.table.Scale(); g.quota.limited && (scale < 1) != (old < 1) {
+	if scale := g.quota.table.Scale(); g.quota.limited && g.hub.active && (scale < 1) != (old < 1) {
 		klog.InfoS("share of the quotas that this instance grants as a hub changed", "scale", scale, "heard", heard, "lost", lost)
 	}
 }
