edge: bound what connections from outside hold, in memory and number

Cause: net/http decodes a head while it arrives and holds many times what was sent; callers.go limited a head to a fixed 64 KiB, took no limit or time from the configuration, and nothing limited all connections together. Bodies, unread responses, messages between instances, heads on the readiness address, lists in headers and queued log lines were not limited in all either.

Change: node/edge. A scanner follows the framing of the bytes before net/http gets them, hands on bytes of one request at a time and estimates its cost once decoded. An account sums the costs of a group of connections; at its limit the connections that hold most and progress least end first, with 503 if no request has run, and one that carries a complete request only while its response is not read. The configuration's limits on heads, their time and idle time apply as they are in force. The number of connections is limited by descriptors and memory; beyond it idle ones close first. Responses that are held for callers count too. Callers, instances and the readiness address have an account each.

--- a/node/gateway/conn.go
+++ b/node/gateway/conn.go
@@ -20,3 +20,10 @@
 		_ = tcp.SetLinger(0) // an error means that the connection is closed
 	}
 }
+
+// hold counts bytes that the gateway holds for a response, in the account of the caller's
+// connection. It returns false if they do not fit.
+func hold(ctx context.Context, n int) bool {
+	conn, ok := ctx.Value(connKey{}).(interface{ Hold(n int) bool })
+	return !ok || conn.Hold(n)
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/origin"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
+	"github.com/jacinthnotch/jacinthnotch/node/edge"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/budget"
@@ -139,6 +140,13 @@
 	blockedRetryAfter = time.Minute
 )
 
+// pressureRetryAfter is the retry delay of a request whose body was not read for want of memory,
+// and causePressure the cause of its refusal.
+const (
+	pressureRetryAfter = 300 * time.Millisecond
+	causePressure      = "no memory for the body now"
+)
+
 // causeUnknownKey is the cause of the refusal of a request without a known key.
 const causeUnknownKey = "a known key is required"
 
@@ -238,6 +246,9 @@
 	case err == nil:
 		_ = controller.SetReadDeadline(time.Time{})
 		return body, true
+	case errors.Is(err, edge.ErrPressure):
+		w.Header().Set("Connection", "close")
+		g.reject(w, id, http.StatusServiceUnavailable, pressureRetryAfter, causePressure)
 	case errors.As(err, &tooLarge):
 		g.reject(w, id, http.StatusRequestEntityTooLarge, 0, "body above the limit")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/node/gateway/header.go
+++ b/node/gateway/header.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strings"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
@@ -14,12 +13,18 @@
 	"Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-// endToEndHeaders returns a copy of the headers without the hop-by-hop ones.
+// endToEndHeaders returns a copy of the headers without the hop-by-hop ones and those that the
+// Connection header lists.
 func endToEndHeaders(h http.Header) http.Header {
 	out := h.Clone()
-	for _, name := range hopByHopNames(h) {
+	for _, name := range hopByHopHeaders {
 		out.Del(name)
 	}
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
 	// The body is sent without waiting for 100 Continue.
 	out.Del("Expect")
 	return out
@@ -32,18 +37,6 @@
 	}
 }
 
-// hopByHopNames returns the names of the hop-by-hop headers, with those that the
-// Connection header lists.
-func hopByHopNames(h http.Header) []string {
-	names := hopByHopHeaders
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			names = append(names[:len(names):len(names)], textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	return names
-}
-
 // asAtMostOnce returns a copy of the route whose requests run at most once.
 func asAtMostOnce(r *serving.Route) *serving.Route {
 	route := *r
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
+	"github.com/jacinthnotch/jacinthnotch/node/edge"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/policy/pathselect"
@@ -186,6 +187,11 @@
 			s.refuse(w, call, http.StatusRequestTimeout, "the submission did not arrive in time", err)
 			return
 		}
+		if errors.Is(err, edge.ErrPressure) {
+			w.Header().Set("Connection", "close")
+			s.refuse(w, call, http.StatusServiceUnavailable, "no memory for the submission now", nil)
+			return
+		}
 		if !errors.As(err, &tooLarge) {
 			panic(http.ErrAbortHandler) // the caller disconnected
 		}
--- a/node/serve/callers.go
+++ b/node/serve/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -10,19 +11,20 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jacinthnotch/jacinthnotch/node/edge"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 )
 
 const (
-	// headerTimeout and idleTimeout apply to callers' connections. The idle timeout is
-	// above the limit that operators usually set, so that the caller closes first.
+	// headerTimeout and idleTimeout apply to connections on which the edge sets no others.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
 	// maxWriteTime limits the writing of any response. The gateway sets a shorter limit for
 	// each request, which this one replaces at the next request of the connection.
 	maxWriteTime = 10 * time.Minute
-	// maxHeaderBytes limits the headers of a caller's request.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes limits the headers of a caller's request whatever the configuration states;
+	// the edge applies the limit of the configuration.
+	maxHeaderBytes = 16 << 20
 	// backlogPause is the time without a new connection after which the listener closes, and
 	// maxBacklogTime the time after which it closes at the latest. The kernel resets the
 	// connections that still wait in the listen queue then.
@@ -49,19 +51,42 @@
 // newCallerServer returns a server that passes callers' requests to handler. The function
 // connContext is that of http.Server.
 func newCallerServer(handler http.Handler, connContext func(context.Context, net.Conn) context.Context) *callerServer {
-	s := &callerServer{listener: &callerListener{conns: map[*callerConn]struct{}{}, closed: make(chan struct{})}}
+	s := &callerServer{listener: &callerListener{
+		conns: map[*callerConn]struct{}{}, closed: make(chan struct{}),
+		account: edge.NewAccount("callers", math.MaxInt/4, math.MaxInt), limits: func() edge.Limits { return edge.Limits{} },
+	}}
 	s.server = &http.Server{
-		Handler: s.closeWhileLeaving(handler), ConnContext: connContext, ConnState: recordState, ReadHeaderTimeout: headerTimeout,
+		Handler: s.closeWhileLeaving(handler), ConnContext: withCallerConn(connContext), ConnState: recordState, ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, WriteTimeout: maxWriteTime, MaxHeaderBytes: maxHeaderBytes,
 	}
 	return s
 }
 
+// limit sets the account of the connections and the limits of their requests. It has to be called
+// before Serve.
+func (s *callerServer) limit(account *edge.Account, limits func() edge.Limits) {
+	s.listener.account, s.listener.limits = account, limits
+}
+
+// callerConnKey is the key of the connection in the context of a request.
+type callerConnKey struct{}
+
+// withCallerConn returns a ConnContext function that also keeps the connection itself.
+func withCallerConn(next func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
+	return func(ctx context.Context, conn net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, conn)
+		}
+		return context.WithValue(ctx, callerConnKey{}, conn)
+	}
+}
+
 // closeWhileLeaving makes each connection end with its next response once the instance is
-// leaving, so that callers open their next one at another instance.
+// leaving, so that callers open their next one at another instance, and if the end of the request
+// is not known.
 func (s *callerServer) closeWhileLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.leaving.Load() {
+		if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); s.leaving.Load() || ok && c.Lost() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -108,6 +133,8 @@
 // accepts what waits in its queue.
 type callerListener struct {
 	*net.TCPListener
+	account *edge.Account
+	limits  func() edge.Limits
 	closing atomic.Bool
 	// closed is closed once the listener is.
 	closed chan struct{}
@@ -137,14 +164,18 @@
 		conn, err := l.AcceptTCP()
 		switch {
 		case err == nil:
-			c := &callerConn{TCPConn: conn, listener: l, openedAt: time.Now()}
-			l.mu.Lock()
-			l.conns[c] = struct{}{}
-			l.mu.Unlock()
 			if l.closing.Load() {
 				// A passed deadline makes Accept fail although connections wait.
 				_ = l.SetDeadline(time.Now().Add(backlogPause))
 			}
+			limited := l.account.Open(conn, true, l.limits)
+			if limited == nil {
+				continue
+			}
+			c := &callerConn{Conn: limited, listener: l, openedAt: time.Now()}
+			l.mu.Lock()
+			l.conns[c] = struct{}{}
+			l.mu.Unlock()
 			return c, nil
 		case l.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded):
 			_ = l.TCPListener.Close() // a second close has no effect
@@ -190,7 +221,7 @@
 
 // callerConn is the connection of a caller.
 type callerConn struct {
-	*net.TCPConn
+	*edge.Conn
 	listener *callerListener
 	openedAt time.Time
 
@@ -203,7 +234,7 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.mu.Lock()
 		c.receivedSince = true
@@ -217,7 +248,7 @@
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
-	return c.TCPConn.Close()
+	return c.Conn.Close()
 }
 
 // recordState is the ConnState function of the server.
@@ -226,6 +257,7 @@
 		c.mu.Lock()
 		c.state, c.receivedSince = state, false
 		c.mu.Unlock()
+		c.Record(state)
 	}
 }
 
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -22,6 +22,7 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/node/edge"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
@@ -119,6 +120,7 @@
 	jobMetrics  *jobs.Metrics
 	callers     *callerServer
 	readiness   *http.Server
+	accounts    accounts
 	leaving     atomic.Bool
 }
 
@@ -165,7 +167,11 @@
 		Refuse: i.refuse, Closed: i.gateway.Drain.Closed, Self: self,
 	}
 	i.callers = newCallerServer(i.gateway, gateway.WithConn)
-	i.readiness = &http.Server{Handler: i.readinessHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	i.accounts = newAccounts(s.Limits)
+	i.callers.limit(i.accounts.callers, i.callerLimits)
+	i.readiness = &http.Server{
+		Handler: i.readinessHandler(), ConnState: edge.RecordState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: headerTimeout,
+	}
 	return i, nil
 }
 
@@ -192,6 +198,9 @@
 	metrics.Set("store_calls", i.store.Map())
 	metrics.Set("server_faults", i.pool.Faults())
 	metrics.Set("panics", guard.Metrics())
+	metrics.Set("edge_callers", i.accounts.callers.Metrics())
+	metrics.Set("edge_instances", i.accounts.peers.Metrics())
+	metrics.Set("edge_readiness", i.accounts.readiness.Metrics())
 	metrics.Set("connections_opened", expvar.Func(func() any { return i.pool.Opened() }))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+i.platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -238,9 +247,12 @@
 		running.Go(func() { runTask(taskCtx, task) })
 	}
 	running.Go(func() { failures <- i.callers.Serve(callers.(*net.TCPListener)) })
-	running.Go(func() { failures <- i.readiness.Serve(readiness) })
 	running.Go(func() {
-		if err := peer.NewServer(peerListener, guardedHandler{mux}, nil).Serve(taskCtx); err != nil && taskCtx.Err() == nil {
+		failures <- i.readiness.Serve(edge.NewListener(readiness.(*net.TCPListener), i.accounts.readiness, true, readinessLimits))
+	})
+	running.Go(func() {
+		limited := edge.NewListener(peerListener.(*net.TCPListener), i.accounts.peers, false, noLimits)
+		if err := peer.NewServer(limited, guardedHandler{mux}, nil).Serve(taskCtx); err != nil && taskCtx.Err() == nil {
 			failures <- fmt.Errorf("serve: calls of other instances: %w", err)
 		}
 	})
