--- /dev/null
+++ b/node/edge/conn_test.go
@@ -0,0 +1,201 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// startServer starts a server whose connections count in the account. Its handler answers with
+// the length of the body, and waits before that while release is not nil and not closed.
+func startServer(t *testing.T, account *Account, limits func() Limits, release <-chan struct{}) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnState: RecordState, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxHeaderBytes: 1 << 20, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		if release != nil {
+			<-release
+		}
+		fmt.Fprint(w, len(body))
+	})}
+	go func() { _ = server.Serve(NewListener(l.(*net.TCPListener), account, true, limits)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// dial opens a connection and sends raw on it.
+func dial(t *testing.T, address, raw string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.WriteString(conn, raw); err != nil {
+		t.Fatal(err)
+	}
+	return conn, bufio.NewReader(conn)
+}
+
+// status returns the status of the next response, or zero if there is none.
+func status(r *bufio.Reader) int {
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+func waitFor(t *testing.T, failure string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatal(failure)
+}
+
+const get = "GET / HTTP/1.1\r\nHost: h\r\n"
+
+func headOf(lineBytes int) string {
+	return get + "A: " + strings.Repeat("v", lineBytes-len("Host: h\r\nA: \r\n\r\n")) + "\r\n\r\n"
+}
+
+// Guards against a limit of the configuration that is not in force as it is stated, or that
+// stays in force after another one has replaced it.
+func TestHeaderLimitFollowsConfiguration(t *testing.T) {
+	var limit atomic.Int64
+	address := startServer(t, NewAccount("test", 1<<20, 10), func() Limits { return Limits{HeaderBytes: limit.Load()} }, nil)
+	for _, l := range []int64{500, 9000, 300} {
+		limit.Store(l)
+		if _, r := dial(t, address, headOf(int(l))); status(r) != http.StatusOK {
+			t.Errorf("limit %d: a head of this length is refused", l)
+		}
+		if _, r := dial(t, address, headOf(int(l)+1)); status(r) != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("limit %d: a longer head is not refused with 431", l)
+		}
+	}
+}
+
+// Guards against heads that come too slowly, and against a head timeout that ends connections that
+// are idle within their limit, or requests that are served.
+func TestTimeouts(t *testing.T) {
+	release := make(chan struct{})
+	limits := func() Limits { return Limits{HeaderTimeout: 50 * time.Millisecond, IdleTimeout: time.Minute} }
+	address := startServer(t, NewAccount("test", 1<<20, 10), limits, release)
+	served, servedReader := dial(t, address, get+"\r\n")
+	idle, idleReader := dial(t, address, "")
+	_, slowReader := dial(t, address, get)
+	if _, err := slowReader.ReadByte(); err == nil {
+		t.Error("a head that stops is answered")
+	}
+	close(release)
+	for range 2 {
+		if status(servedReader) != http.StatusOK {
+			t.Error("a request is cut off by the head timeout")
+		}
+		time.Sleep(60 * time.Millisecond)
+		_, _ = io.WriteString(served, get+"\r\n")
+	}
+	_, _ = io.WriteString(idle, get+"\r\n")
+	if status(idleReader) != http.StatusOK {
+		t.Error("an idle connection is closed by the head timeout")
+	}
+}
+
+// Guards against a full account that refuses ordinary requests while connections that hold more
+// and have stopped go on, and against memory that is not free after them.
+func TestPressureEndsTheLargest(t *testing.T) {
+	account := NewAccount("test", 100<<10, 100)
+	address := startServer(t, account, func() Limits { return Limits{} }, nil)
+	var readers []*bufio.Reader
+	for range 4 {
+		_, r := dial(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n"+strings.Repeat("b", 10000))
+		readers = append(readers, r)
+	}
+	_, headReader := dial(t, address, get+strings.Repeat("a:\r\n", 250))
+	waitFor(t, "nothing is refused", func() bool {
+		_, r := dial(t, address, get+"\r\n")
+		return status(r) == http.StatusOK && account.counts.Get("memory") != nil
+	})
+	statuses := make(chan int, len(readers)+1)
+	for _, r := range append(readers, headReader) {
+		go func() { statuses <- status(r) }()
+	}
+	if got := <-statuses; got != http.StatusServiceUnavailable && got != 0 {
+		t.Errorf("a stopped request got %d, want 503 or a closed connection", got)
+	}
+}
+
+// Guards against a limit on connections that refuses new callers while others are idle, and
+// against one that ends requests that are served.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	release := make(chan struct{})
+	account := NewAccount("test", 1<<20, 3)
+	address := startServer(t, account, func() Limits { return Limits{} }, release)
+	var served []*bufio.Reader
+	for range 2 {
+		_, r := dial(t, address, get+"\r\n")
+		served = append(served, r)
+	}
+	waitFor(t, "the requests do not arrive", func() bool { used, _ := account.state(); return used > 0 })
+	time.Sleep(50 * time.Millisecond)
+	for range 10 {
+		dial(t, address, "")
+	}
+	_, last := dial(t, address, get+"\r\n")
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	for _, r := range append(served, last) {
+		if status(r) != http.StatusOK {
+			t.Error("a request was not answered")
+		}
+	}
+	if _, conns := account.state(); conns > 3 {
+		t.Errorf("%d connections, want at most 3", conns)
+	}
+}
+
+// Guards against memory of requests that stays counted after their connections have closed, until
+// the account is full for good.
+func TestAccountIsEmptyAfterwards(t *testing.T) {
+	account := NewAccount("test", 200<<10, 50)
+	address := startServer(t, account, func() Limits { return Limits{} }, nil)
+	for n := range 100 {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		switch n % 3 {
+		case 0:
+			_, _ = io.WriteString(conn, get+strings.Repeat("a:\r\n", 200))
+		case 1:
+			_, _ = io.WriteString(conn, get+"\r\n"+get+"\r\n"+get)
+		default:
+			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n"+strings.Repeat("b", 20000))
+		}
+		_ = conn.Close()
+	}
+	waitFor(t, "connections stay counted", func() bool {
+		used, conns := account.state()
+		account.mu.Lock()
+		defer account.mu.Unlock()
+		return used == 0 && conns == 0 && account.ending == 0
+	})
+}
--- a/node/edge/scanner.go
+++ b/node/edge/scanner.go
@@ -24,6 +24,9 @@
 // that frame a body. Unusual padding makes them longer; the connection then ends with the response.
 const maxFieldBytes = 48
 
+// versionLength is the length of the protocol version with the CR behind it.
+const versionLength = len("HTTP/1.1\r")
+
 // part is a part of a request.
 type part uint8
 
@@ -52,11 +55,15 @@
 	// line is the beginning of the current line and lineLength its length without the final LF.
 	line       [maxFieldBytes]byte
 	lineLength int
-	length     int64
-	hasLength  bool
-	chunked    bool
-	lost       bool
-	started    bool
+	// ending is the end of the request line, and endedHead the longer of the request line and the
+	// header lines of a request that ended in the last Scan.
+	ending    [versionLength]byte
+	endedHead int
+	length    int64
+	hasLength bool
+	chunked   bool
+	lost      bool
+	started   bool
 	// served is the cost of earlier requests that are not released.
 	served int
 }
@@ -64,9 +71,8 @@
 // Scan takes the next bytes of the connection and returns how many of them belong to the current
 // request. A request that has ended before is followed by the next one.
 func (s *Scanner) Scan(b []byte) int {
-	if len(b) > 0 && !s.started {
-		s.started = true
-	}
+	s.endedHead = 0
+	s.started = s.started || len(b) > 0
 	for n := 0; n < len(b); {
 		switch s.part {
 		case inHead, inChunkSize, inTrailer:
@@ -121,17 +127,24 @@
 	}
 	s.lineLength += len(b)
 	s.countHead(len(b))
+	if s.part == inHead && s.lines == 0 {
+		kept := copy(s.ending[:], s.ending[min(len(b), versionLength):])
+		copy(s.ending[kept:], b[max(0, len(b)-versionLength):])
+	}
 	if s.part != inChunkSize {
 		s.listEntries += bytes.Count(b, []byte{','})
 	}
 }
 
 func (s *Scanner) countHead(n int) {
-	if s.part == inHead && s.lines == 0 {
+	switch {
+	case s.part != inHead:
+		s.bodyBytes += n
+	case s.lines == 0:
 		s.firstLine += n
-		return
+	default:
+		s.headBytes += n
 	}
-	s.headBytes += n
 }
 
 // endLine ends the current line. It returns true if the request ends with it.
@@ -163,7 +176,7 @@
 	switch {
 	case s.lost:
 		s.part = inUnknown
-	case s.chunked && s.hasLength:
+	case s.chunked && (s.hasLength || !s.isCurrentVersion()):
 		s.lose()
 	case s.chunked:
 		s.part = inChunkSize
@@ -175,6 +188,11 @@
 	return false
 }
 
+// isCurrentVersion reports whether the request line ends with the version that has chunks.
+func (s *Scanner) isCurrentVersion() bool {
+	return string(s.ending[:]) == "HTTP/1.1\r" || string(s.ending[1:]) == "HTTP/1.1"
+}
+
 // addField takes the framing from a header line, if it has some.
 func (s *Scanner) addField(line []byte, isWhole bool) {
 	name, value, _ := bytes.Cut(line, []byte{':'})
@@ -221,7 +239,9 @@
 func (s *Scanner) lose() { s.lost, s.part = true, inUnknown }
 
 // endRequest prepares the scanner for the next request.
-func (s *Scanner) endRequest() { *s = Scanner{served: s.Cost()} }
+func (s *Scanner) endRequest() {
+	*s = Scanner{served: s.Cost(), endedHead: max(s.headBytes, s.firstLine)}
+}
 
 // parseNumber returns a number without a sign, and whether it is one.
 func parseNumber(digits []byte, base int64) (int64, bool) {
@@ -248,8 +268,11 @@
 // Release releases what the requests before the current one took.
 func (s *Scanner) Release() { s.served = 0 }
 
-// ExceedsHead reports whether the request line or the header lines are longer than limit bytes.
-func (s *Scanner) ExceedsHead(limit int) bool { return s.headBytes > limit || s.firstLine > limit }
+// ExceedsHead reports whether the request line or the header lines are longer than limit bytes, in
+// the request that the last Scan was about.
+func (s *Scanner) ExceedsHead(limit int) bool {
+	return max(s.headBytes, s.firstLine, s.endedHead) > limit
+}
 
 // Lost reports whether the framing is unknown, so that the connection has to end.
 func (s *Scanner) Lost() bool { return s.lost }
