edge: job responses count until they are read, names of instances are limited

Cause: what a handler holds for a caller that does not read the results of a job was not counted, and each name in a datagram was kept for 60 s.

Change: responses of up to 900 KB to calls about jobs count in the account of the connection and have a minute to be read; they are refused with 503 if they do not fit. At most 4,096 instances are known by name.

--- a/node/gateway/conn.go
+++ b/node/gateway/conn.go
@@ -21,9 +21,9 @@
 	}
 }
 
-// hold counts bytes that the gateway holds for a response, in the account of the caller's
-// connection. It returns false if they do not fit.
-func hold(ctx context.Context, n int) bool {
+// Hold counts bytes that a handler holds for a response, in the account of the caller's
+// connection, until the response is complete. It returns false if they do not fit.
+func Hold(ctx context.Context, n int) bool {
 	conn, ok := ctx.Value(connKey{}).(interface{ Hold(n int) bool })
 	return !ok || conn.Hold(n)
 }
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -84,7 +84,7 @@
 			return body, true, nil
 		case err != nil:
 			return body, false, err
-		case len(body) > maxBufferedResponseBytes || !hold(c.incoming.Context(), n) || !c.gateway.Buffers.Resize(c.buffered, c.buffered+n):
+		case len(body) > maxBufferedResponseBytes || !Hold(c.incoming.Context(), n) || !c.gateway.Buffers.Resize(c.buffered, c.buffered+n):
 			return body, false, nil
 		}
 		c.buffered += n
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -37,6 +37,8 @@
 	maxResultBytes = 900 << 10
 	// maxSubmissionTime is the time for which a caller may take to send a submission.
 	maxSubmissionTime = 30 * time.Second
+	// maxResponseTime is the time for which a caller may take to read a response.
+	maxResponseTime = time.Minute
 	// defaultMaxSubmissionBytes is the maximum size of a submission, in bytes, if the
 	// configuration has no limit.
 	defaultMaxSubmissionBytes = 4 << 20
@@ -361,7 +363,7 @@
 				s.refuse(w, call, http.StatusServiceUnavailable, "not sure that there is no result", nil)
 				return
 			}
-			s.writeResults(w, call, job, nil)
+			s.writeResults(w, r, call, job, nil)
 			return
 		}
 		select {
@@ -401,7 +403,7 @@
 		size += len(entry.Text)
 		results = append(results, entry)
 	}
-	s.writeResults(w, call, job, results)
+	s.writeResults(w, r, call, job, results)
 }
 
 // prefetchOutputs reads the outputs of as many results as fit into a response.
@@ -419,15 +421,26 @@
 	s.Blobs.Prefetch(ctx, outputs)
 }
 
-func (s *Service) writeResults(w http.ResponseWriter, call Call, job *joblog.Job, results []ItemResult) {
+func (s *Service) writeResults(w http.ResponseWriter, r *http.Request, call Call, job *joblog.Job, results []ItemResult) {
 	raw, err := s.Codec.EncodeResults(len(job.Items), call.After, results)
 	if err != nil {
 		s.refuse(w, call, http.StatusInternalServerError, "results not encoded", err)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
+	s.write(w, r, call, "application/json", raw)
+}
+
+// write writes a response that counts in the memory of the caller's connection until it is read.
+func (s *Service) write(w http.ResponseWriter, r *http.Request, call Call, contentType string, body []byte) {
+	if !gateway.Hold(r.Context(), len(body)) {
+		s.refuse(w, call, http.StatusServiceUnavailable, "no memory for the response now", nil)
+		return
+	}
+	// Only the writers of tests do not support deadlines.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(maxResponseTime))
+	w.Header().Set("Content-Type", contentType)
 	// An error means that the caller has disconnected.
-	_, _ = w.Write(raw)
+	_, _ = w.Write(body)
 }
 
 func (s *Service) handleReadItem(w http.ResponseWriter, r *http.Request, call Call) {
@@ -448,9 +461,7 @@
 	}
 	for i := range items {
 		if items[i].ID == call.Item {
-			w.Header().Set("Content-Type", "application/octet-stream")
-			// An error means that the caller has disconnected.
-			_, _ = w.Write(items[i].Body)
+			s.write(w, r, call, "application/octet-stream", items[i].Body)
 			return
 		}
 	}
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -69,6 +69,10 @@
 	now := time.Now()
 	g.mu.Lock()
 	p := g.recordHeard(report.Name, from)
+	if g.peers[report.Name] == nil {
+		g.mu.Unlock()
+		return
+	}
 	p.Incarnation, p.leaving, p.reachesStore, p.protocol = report.Incarnation, report.Leaving, report.ReachesStore, report.Protocol
 	isFirst := now.Sub(p.reportedAt) > heardTTL
 	p.reportedAt = now
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -37,6 +37,8 @@
 	aliveCacheTTL = 50 * time.Millisecond
 	// maxDatagramBytes is the maximum size of a datagram.
 	maxDatagramBytes = 64 << 10
+	// maxPeers limits the instances that are known by name.
+	maxPeers = 4096
 )
 
 // Options are the options of a Group.
@@ -213,6 +215,9 @@
 	p := g.peers[name]
 	if p == nil {
 		p = &peer{name: name, discoveredAt: now, loggedLive: true}
+		if len(g.peers) >= maxPeers {
+			return p // not recorded: no fleet has as many, so that most names are made up
+		}
 		g.peers[name] = p
 		g.peersByHash[hash(name)] = p
 		g.order = nil
