--- a/node/peers/strangers_test.go
+++ b/node/peers/strangers_test.go
@@ -11,8 +11,13 @@
 	inVirtualTime(t, 1, func(t *testing.T, net *network) {
 		n := startNode(t, net, &fakeFeed{entries: map[string]Instance{}}, "n0", 1, 8)
 		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 200}), 1)
-		for i := range maxPeers + 100 {
-			n.group.onLoadReport(&loadReport{Name: fmt.Sprint("stranger", i)}, from)
+		n.group.mu.Lock()
+		for i := range maxPeers {
+			n.group.recordHeard(fmt.Sprint("stranger", i), from)
+		}
+		n.group.mu.Unlock()
+		for i := range 10 {
+			n.group.onLoadReport(&loadReport{Name: fmt.Sprint("further", i)}, from)
 		}
 		n.group.mu.Lock()
 		defer n.group.mu.Unlock()
