fairshare: which requests are rejected while a service has too little room

Cause: an online request that found all slots taken got a place in a server's queue, first come first served, so that one workspace's burst made all workspaces late. Change: the instance that picks the servers counts the work granted to each workspace and priority and, while the expected wait is above 0.4 of the latency objective, rejects with a turn what is over the weighted max-min share. Only configurations with workspaces have shares.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -72,6 +72,9 @@
 // causeBlocked is the cause of the refusal of a request under which servers crash.
 const causeBlocked = "held back: servers crash under such requests"
 
+// causeOverShare is the cause of the refusal of a request whose workspace has its share already.
+const causeOverShare = "too little room: the workspace has its share already"
+
 // Causes for which an attempt is cancelled or a request is given up.
 var (
 	errServerTimeout      = errors.New("gateway: server did not respond in time")
@@ -115,6 +118,8 @@
 	// errorResponse is the latest error response of a server. It is forwarded if no
 	// attempt succeeds.
 	errorResponse *bufferedResponse
+	// rejection is why the request got no server, if it was over its share.
+	rejection *balance.Rejection
 	// buffered is the size of the responses that count in the gateway's budget, in bytes.
 	buffered int
 	lastErr  error
@@ -245,6 +250,10 @@
 				return lease, ""
 			}
 			lease.End(balance.Abandoned)
+		} else if rejection.Reason == balance.OverShare {
+			c.gateway.Metrics.count("over_share")
+			c.rejection = rejection
+			return nil, causeOverShare
 		}
 		if !c.mayWaitForRate() {
 			return nil, reason
@@ -505,9 +514,12 @@
 	return !c.deadline.IsZero() && time.Until(c.deadline) <= deadlineMargin
 }
 
-// retryAfter returns the expected time until the servers have run the requests that are
-// queued already.
+// retryAfter returns the time until the turn of a request over its share, and otherwise the
+// expected time until the servers have run the requests that are queued already.
 func (c *call) retryAfter() time.Duration {
+	if c.rejection != nil && c.rejection.RetryAfter > 0 {
+		return c.rejection.RetryAfter
+	}
 	if c.gateway.View.RateLimited(c.service) {
 		// The requests that are refused at the same time return one after the other.
 		return minRetryAfter + rand.N(rateRetrySpread)
--- a/node/gateway/resume.go
+++ b/node/gateway/resume.go
@@ -95,12 +95,16 @@
 
 // query returns the properties of the request by which a server is picked.
 func (c *call) query() balance.Query {
-	return balance.Query{
+	query := balance.Query{
 		Service: c.service, Class: balance.Online, AtMostOnce: !c.repeatable(), Tried: c.tried,
 		RequireVersion: c.origin.known, Version: c.origin.Version,
 		Workspace: c.caller.Name(), Priority: c.caller.PriorityOr(c.route.Priority),
 		Prompt: PromptSegments(&c.request), PromptTokens: c.request.PromptTokens, OutputTokens: c.request.OutputTokens,
 	}
+	if c.sentCount == 0 && !c.request.IsResume {
+		query.Objective = c.route.LatencyObjective
+	}
+	return query
 }
 
 // versionIsGone reports whether no server of any load is left at which the stream could go on.
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -350,6 +350,9 @@
 	if !warm && request.Class == balance.Batch {
 		return balance.Choice{}, &balance.Rejection{}
 	}
+	if rejection := g.checkShare(&q); rejection != nil {
+		return balance.Choice{}, rejection
+	}
 	choice, ok := g.opt.View.PickForPeer(request.Name, request.Sequence, q)
 	if !ok {
 		return balance.Choice{}, &balance.Rejection{}
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -97,6 +97,8 @@
 	preemptions preemptionLog
 	// containment has its own lock.
 	containment containment
+	// shares has its own lock.
+	shares shares
 	// entriesMissing is set when a roster names an instance whose entry is not known.
 	entriesMissing bool
 	// alive is the result of Alive at aliveAt.
--- a/node/peers/place.go
+++ b/node/peers/place.go
@@ -43,6 +43,9 @@
 		return nil, &balance.Rejection{}
 	}
 	q.Instances = len(g.Alive()) + 1
+	if rejection := g.checkShare(&q); rejection != nil {
+		return nil, rejection
+	}
 	return g.pick(q)
 }
 
@@ -58,6 +61,9 @@
 // placeAsHub picks a server for a request of this instance, which is the hub.
 func (g *Group) placeAsHub(q balance.Query) (*fleet.Lease, *balance.Rejection) {
 	q.CompleteView = true
+	if rejection := g.checkShare(&q); rejection != nil {
+		return nil, rejection
+	}
 	lease, rejection := g.pick(q)
 	if rejection != nil {
 		return nil, rejection
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -187,6 +187,7 @@
 	metrics := new(expvar.Map).Init()
 	metrics.Set("gateway", i.gateway.Metrics.Map())
 	metrics.Set("containment", i.group.ContainmentMetrics())
+	metrics.Set("shares", i.group.ShareMetrics())
 	metrics.Set("jobs", i.jobMetrics.Map())
 	metrics.Set("waiting_tokens", i.index.WaitingMetrics())
 	metrics.Set("store_calls", i.store.Map())
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -52,6 +52,9 @@
 	// PromptTokens is the length of the prompt and OutputTokens the maximum length of the
 	// output; zero if not stated.
 	PromptTokens, OutputTokens int64
+	// Objective is the latency objective of a request that may be rejected as over its share;
+	// zero if it may not, because it was sent to a server before.
+	Objective time.Duration
 }
 
 // PromptSegment is a part of a prompt, identified by the hash of its ID.
--- /dev/null
+++ b/policy/fairshare/fairshare_test.go
@@ -0,0 +1,105 @@
+package fairshare
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var begin = time.Unix(1000, 0)
+
+// full is the room of a service at which requests are expected to wait for a second.
+var full = Room{Waiting: 100, Slots: 100, RunTime: time.Second}
+
+// Guards against rejected requests that return at the same time, and against a caller that
+// returns at its turn and is rejected in favour of new ones.
+func TestTurns(t *testing.T) {
+	var c Controller
+	r := Request{Service: "s", Workspace: "w", Objective: 300 * time.Millisecond}
+	for range 2000 {
+		c.Admit(begin, r, Room{})
+		c.Admit(begin, Request{Service: "s", Workspace: "other"}, Room{})
+	}
+	turns := map[uint32]time.Duration{}
+	last := time.Duration(0)
+	for session := uint32(1); session <= 20; session++ {
+		r.Session = session
+		d := c.Admit(begin, r, full)
+		if d.Admitted || d.RetryAfter < minRetryAfter || d.RetryAfter <= last {
+			t.Fatalf("session %d: %+v after a turn in %s", session, d, last)
+		}
+		turns[session], last = d.RetryAfter, d.RetryAfter
+	}
+	for session := uint32(1); session <= 20; session++ {
+		r.Session = session
+		if d := c.Admit(begin.Add(turns[session]), r, Room{Waiting: 20, Slots: 100, RunTime: time.Second}); !d.Admitted {
+			t.Errorf("session %d is rejected again at its turn in %s: %+v", session, turns[session], d)
+		}
+	}
+}
+
+// Guards against requests that are rejected though there is room, or though they were sent to a
+// server before, and against a workspace that stays shut out once the queue does not move.
+func TestAdmitted(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		objective time.Duration
+		room      Room
+		after     time.Duration
+		want      bool
+	}{
+		{"free slots", 300 * time.Millisecond, Room{}, 0, true},
+		{"a short queue", 300 * time.Millisecond, Room{Waiting: 10, Slots: 100, RunTime: time.Second}, 0, true},
+		{"a long queue", 300 * time.Millisecond, full, 0, false},
+		{"sent before", 0, full, 0, true},
+		{"unknown run time", 300 * time.Millisecond, Room{Waiting: 100, Slots: 100}, 0, true},
+		{"a while later", 300 * time.Millisecond, full, 4 * time.Second, true},
+		{"long after", 300 * time.Millisecond, full, time.Hour, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var c Controller
+			for i := range 1000 {
+				c.Admit(begin, Request{Service: "s", Workspace: fmt.Sprint("w", i%2)}, Room{})
+			}
+			r := Request{Service: "s", Workspace: "w0", Objective: tc.objective}
+			if d := c.Admit(begin.Add(tc.after), r, tc.room); d.Admitted != tc.want {
+				t.Errorf("got %+v, want admitted %t", d, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against state that grows with the names that callers bring, and that is kept for ever.
+func TestStateIsBounded(t *testing.T) {
+	var c Controller
+	for i := range 3 * maxFlows {
+		r := Request{Service: fmt.Sprint("s", i%(2*maxServices)), Workspace: fmt.Sprint("w", i), Session: uint32(i), Objective: time.Millisecond}
+		c.Admit(begin, r, full)
+		r.Service = "s0"
+		c.Admit(begin, r, full)
+		r.Workspace = "w"
+		c.Admit(begin, r, full)
+	}
+	if s := c.services["s0"]; len(c.services) > maxServices || len(s.flows) > maxFlows || len(s.order) != len(s.flows) || len(s.turns) > maxTurns {
+		t.Errorf("%d services, %d flows, %d turns", len(c.services), len(s.flows), len(s.turns))
+	}
+	c.Admit(begin.Add(time.Hour), Request{Service: "t"}, full)
+	if len(c.services) != 1 {
+		t.Errorf("%d services are kept", len(c.services))
+	}
+}
+
+// BenchmarkAdmit measures a decision for 560 workspaces while the service is full.
+func BenchmarkAdmit(b *testing.B) {
+	var c Controller
+	now := begin
+	names := make([]string, 560)
+	for i := range names {
+		names[i] = fmt.Sprint("workspace-", i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Second / 3200)
+		c.Admit(now, Request{Service: "s", Workspace: names[i%len(names)], Session: uint32(i), Work: 20, Objective: 300 * time.Millisecond}, full)
+	}
+}
