shares: a workspace below its share is admitted while the wait is within its objective

Change: a workspace that asks for less than its share of what the servers finish is admitted up to a wait of its latency objective.

--- a/policy/fairshare/fairshare.go
+++ b/policy/fairshare/fairshare.go
@@ -143,9 +143,12 @@
 	// asked and granted are the counts of work, and limit is the share, all at the same scale.
 	asked, granted, limit float64
 	askedAt               time.Time
+	// small is set if the workspace asks for no more than its share of all that the servers
+	// finish.
+	small bool
 	// nextTurn is the latest turn that was given to a rejected request.
 	nextTurn time.Time
-	// unmet is the buffer of divide.
+	// unmet is what the limit lacks of asked, in divide.
 	unmet float64
 }
 
@@ -193,6 +196,9 @@
 		s.allocatedAt = now
 		s.allocate(s.scale(now), target/wait, room)
 	}
+	if f.small && wait <= float64(r.Objective) {
+		return true
+	}
 	f.granted = min(f.granted, maxLead*max(f.limit, work))
 	limit := f.limit
 	if s.returns(now, f, r.Session) {
@@ -228,7 +234,7 @@
 			return f
 		}
 	}
-	f := &flow{flowKey: key}
+	f := &flow{flowKey: key, small: true}
 	s.flows[key] = f
 	s.order = append(s.order, f)
 	return f
@@ -265,7 +271,7 @@
 }
 
 // allocate sets the limits of all flows. relief is the ratio of the wait that is aimed at to the
-// expected one.
+// expected one: what is granted is less than what the servers finish, until the queue is short.
 func (s *service) allocate(scale, relief float64, room Room) {
 	asked, granted, weights, weighted := 0.0, 0.0, 0.0, 0.0
 	byPriority := map[int]float64{}
@@ -282,7 +288,16 @@
 	if weighted > 0 {
 		meanWeight = weights / weighted
 	}
-	capacity := relief * max(granted, scale*s.finished(room))
+	capacity := max(granted, scale*s.finished(room))
+	s.divide(byPriority, asked, capacity, meanWeight)
+	for _, f := range s.order {
+		f.small = f.unmet == 0
+	}
+	s.divide(byPriority, asked, relief*capacity, meanWeight)
+}
+
+// divide divides the capacity among the priorities and their flows.
+func (s *service) divide(byPriority map[int]float64, asked, capacity, meanWeight float64) {
 	ratio := min(1, capacity/asked)
 	spare := capacity - priorityMinimum*ratio*asked
 	for _, priority := range sortedKeys(byPriority) {
@@ -290,7 +305,7 @@
 		minimum := priorityMinimum * ratio * demand
 		extra := min(max(0, spare), demand-minimum)
 		spare -= extra
-		s.divide(priority, demand, minimum+extra, meanWeight)
+		s.dividePriority(priority, demand, minimum+extra, meanWeight)
 	}
 }
 
@@ -307,8 +322,8 @@
 	return perDecider * mean * float64(halfLife) / (math.Ln2 * float64(room.RunTime))
 }
 
-// divide divides the capacity of a priority among its flows.
-func (s *service) divide(priority int, demand, capacity, meanWeight float64) {
+// dividePriority divides the capacity of a priority among its flows.
+func (s *service) dividePriority(priority int, demand, capacity, meanWeight float64) {
 	ratio := 1.0
 	if capacity < demand {
 		ratio = capacity / demand
