shares: the rate at which requests end is measured, not taken from a run time

Rounding could make all workspaces count as above their share. Change: the instance that picks servers counts ends while all slots are taken; without a hub the shorter run times count. A rejected workspace below its share returns when the queue is short.

--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -57,6 +57,9 @@
 	table   *balance.Table
 	// runTimes holds the moving average of the run time of online requests, by service.
 	runTimes map[string]time.Duration
+	// shortRunTimes holds the run times without the time in queues; nil before the first
+	// measurement.
+	shortRunTimes map[string]time.Duration
 	// onLoadChange is called after each change of the requests in flight.
 	onLoadChange func()
 	// configReadAt and serversReadAt are the times of the last successful reads of the
@@ -342,6 +345,7 @@
 }
 
 func (v *View) recordRunTime(service string, runTime time.Duration) {
+	v.recordShortRunTime(service, runTime)
 	mean, ok := v.runTimes[service]
 	if !ok {
 		mean = initialRunTime
--- a/node/peers/shares.go
+++ b/node/peers/shares.go
@@ -41,7 +41,7 @@
 	if n := len(q.Prompt); n > 0 {
 		request.Session = q.Prompt[n-1].Segment
 	}
-	room := fairshare.Room{RunTime: q.RunTime}
+	room := fairshare.Room{RunTime: g.opt.View.ShortRunTime(q.Service)}
 	room.Waiting, room.Slots = g.opt.View.OnlineRoom(q.Service)
 	if !q.CompleteView {
 		room.Deciders = q.Instances
@@ -59,7 +59,7 @@
 	g.shares.counts.Add("over_share", 1)
 	if d.Began {
 		klog.InfoS("too little room: requests over their workspace's share are rejected", "service", q.Service, "waiting", room.Waiting,
-			"slots", room.Slots, "expectedWait", room.Wait(), "workspace", q.Workspace, "priority", q.Priority, "retryAfter", d.RetryAfter)
+			"slots", room.Slots, "expectedWait", d.Wait, "workspace", q.Workspace, "priority", q.Priority, "retryAfter", d.RetryAfter)
 	}
 	return &balance.Rejection{Reason: balance.OverShare, RetryAfter: d.RetryAfter}
 }
--- a/policy/fairshare/fairshare.go
+++ b/policy/fairshare/fairshare.go
@@ -46,6 +46,8 @@
 	idleTime      = 10 * time.Second
 	// maxScaleExponent is the number of half-lives after which the counts are rescaled.
 	maxScaleExponent = 64
+	// tolerance is the relative error of sums of shares.
+	tolerance = 1e-9
 	// maxPasses limits the passes of the max-min division. The shares of workspaces that are
 	// satisfied later than that are too low by what is left.
 	maxPasses = 16
@@ -80,19 +82,12 @@
 	// Waiting is the number of requests that wait for a slot; it is zero while there is a slot
 	// that a request may take.
 	Waiting, Slots int
-	// RunTime is the mean time that a request takes a slot; zero if not known.
-	RunTime time.Duration
 	// Deciders is the number of controllers that decide on requests of the service, each on an
-	// equal part of them; zero counts as one.
+	// equal part of them; zero counts as one. A single one measures how fast requests end.
 	Deciders int
-}
-
-// Wait returns the expected time until a new request gets a slot.
-func (r Room) Wait() time.Duration {
-	if r.Waiting <= 0 || r.Slots <= 0 {
-		return 0
-	}
-	return time.Duration(float64(r.Waiting) / float64(r.Slots) * float64(r.RunTime))
+	// RunTime is the time that a request takes a slot, without its time in queues; zero if not
+	// known.
+	RunTime time.Duration
 }
 
 // Decision is the result of Controller.Admit.
@@ -100,6 +95,8 @@
 	Admitted bool
 	// RetryAfter is the time until the turn of a request that is not admitted.
 	RetryAfter time.Duration
+	// Wait is the expected time until the request would have got a slot.
+	Wait time.Duration
 	// Began is set for the first request of a service that is not admitted, and Ended for the
 	// first one after calmTime without such a request.
 	Began, Ended bool
@@ -126,6 +123,9 @@
 	// askedAt, allocatedAt and rejectedAt are the times of the last request, of the last
 	// division and of the last rejection.
 	askedAt, allocatedAt, rejectedAt time.Time
+	ends                             endRate
+	// wait is the time in nanoseconds for which the last request was expected to wait.
+	wait float64
 	// rejects is set from the first rejection until calmTime after the last one.
 	rejects bool
 }
@@ -175,11 +175,13 @@
 	scale := s.scale(now)
 	f.asked += work * scale
 	if d.Admitted = s.admits(now, f, &r, work*scale, room); d.Admitted {
+		s.ends.admitted++
 		f.granted += work * scale
 		delete(s.turns, turnKey{f.flowKey, r.Session})
 		return d
 	}
-	d.RetryAfter = s.nextTurn(now, f, r.Session, work*scale)
+	d.RetryAfter = s.nextTurn(now, f, &r, work*scale)
+	d.Wait = time.Duration(s.wait)
 	d.Began = !s.rejects
 	s.rejects, s.rejectedAt = true, now
 	return d
@@ -188,13 +190,19 @@
 // admits reports whether there is room for the request, or its workspace has less than its
 // share. work is at the scale of the counts.
 func (s *service) admits(now time.Time, f *flow, r *Request, work float64, room Room) bool {
-	target, wait := targetShare*float64(r.Objective), float64(room.Wait())
-	if target <= 0 || wait <= target {
+	rate := s.endRate(now, room)
+	target := targetShare * float64(r.Objective)
+	if room.Waiting <= 0 || rate == 0 || target <= 0 {
+		return true
+	}
+	wait := float64(room.Waiting) / rate * float64(time.Second)
+	s.wait = wait
+	if wait <= target {
 		return true
 	}
 	if age := now.Sub(s.allocatedAt); age < 0 || age >= allocationInterval {
 		s.allocatedAt = now
-		s.allocate(s.scale(now), target/wait, room)
+		s.allocate(s.scale(now), target/wait, rate/float64(max(1, room.Deciders)))
 	}
 	if f.small && wait <= float64(r.Objective) {
 		return true
@@ -272,7 +280,8 @@
 
 // allocate sets the limits of all flows. relief is the ratio of the wait that is aimed at to the
 // expected one: what is granted is less than what the servers finish, until the queue is short.
-func (s *service) allocate(scale, relief float64, room Room) {
+// rate is the number of requests that end in a second.
+func (s *service) allocate(scale, relief, rate float64) {
 	asked, granted, weights, weighted := 0.0, 0.0, 0.0, 0.0
 	byPriority := map[int]float64{}
 	for _, f := range s.order {
@@ -288,7 +297,7 @@
 	if weighted > 0 {
 		meanWeight = weights / weighted
 	}
-	capacity := max(granted, scale*s.finished(room))
+	capacity := max(granted, scale*rate*s.work(0)*halfLife.Seconds()/math.Ln2)
 	s.divide(byPriority, asked, capacity, meanWeight)
 	for _, f := range s.order {
 		f.small = f.unmet == 0
@@ -309,24 +318,16 @@
 	}
 }
 
-// finished returns the work that the servers finish in the time over which work is counted.
-func (s *service) finished(room Room) float64 {
-	if room.RunTime <= 0 {
-		return 0
-	}
-	mean := s.meanWork
-	if mean == 0 {
-		mean = 1
-	}
-	perDecider := float64(room.Slots) / float64(max(1, room.Deciders))
-	return perDecider * mean * float64(halfLife) / (math.Ln2 * float64(room.RunTime))
-}
-
 // dividePriority divides the capacity of a priority among its flows.
 func (s *service) dividePriority(priority int, demand, capacity, meanWeight float64) {
-	ratio := 1.0
-	if capacity < demand {
-		ratio = capacity / demand
+	ratio := min(1, capacity/demand)
+	if ratio > 1-tolerance {
+		for _, f := range s.order {
+			if f.priority == priority {
+				f.limit, f.unmet = f.asked, 0
+			}
+		}
+		return
 	}
 	spare := capacity
 	for _, f := range s.order {
@@ -379,12 +380,16 @@
 	return ok && session != 0 && !now.Before(turn.Add(-turnMargin))
 }
 
-// nextTurn gives a rejected request its turn, and returns the time until then: when enough of
-// the workspace's work has decayed, after the turns given before, one after the other at the
-// rate of the workspace's share. work is at the scale of the counts.
-func (s *service) nextTurn(now time.Time, f *flow, session uint32, work float64) time.Duration {
+// nextTurn gives a rejected request its turn, and returns the time until then. A workspace below
+// its share returns when the queue is shorter; otherwise enough of the workspace's work has to
+// decay first. Further requests follow one after the other at the rate of the share. work is at
+// the scale of the counts.
+func (s *service) nextTurn(now time.Time, f *flow, r *Request, work float64) time.Duration {
 	wait, spacing := maxRetryAfter, maxRetryAfter
-	if f.limit > 0 {
+	switch {
+	case f.small:
+		wait, spacing = atMost(s.wait-targetShare*float64(r.Objective)), 0
+	case f.limit > 0:
 		wait = atMost(math.Log2(max(1, f.granted/f.limit)) * float64(halfLife))
 		spacing = atMost(work / f.limit * float64(halfLife) / math.Ln2)
 	}
@@ -396,8 +401,8 @@
 		turn = latest
 	}
 	f.nextTurn = turn
-	if session != 0 && len(s.turns) < maxTurns {
-		s.turns[turnKey{f.flowKey, session}] = turn
+	if r.Session != 0 && len(s.turns) < maxTurns {
+		s.turns[turnKey{f.flowKey, r.Session}] = turn
 	}
 	return turn.Sub(now)
 }
--- a/policy/fairshare/fairshare_test.go
+++ b/policy/fairshare/fairshare_test.go
@@ -9,7 +9,7 @@
 var begin = time.Unix(1000, 0)
 
 // full is the room of a service at which requests are expected to wait for a second.
-var full = Room{Waiting: 100, Slots: 100, RunTime: time.Second}
+var full = Room{Waiting: 100, Slots: 100, RunTime: time.Second, Deciders: 2}
 
 // Guards against rejected requests that return at the same time, and against a caller that
 // returns at its turn and is rejected in favour of new ones.
@@ -32,7 +32,7 @@
 	}
 	for session := uint32(1); session <= 20; session++ {
 		r.Session = session
-		if d := c.Admit(begin.Add(turns[session]), r, Room{Waiting: 20, Slots: 100, RunTime: time.Second}); !d.Admitted {
+		if d := c.Admit(begin.Add(turns[session]), r, Room{Waiting: 20, Slots: 100, RunTime: time.Second, Deciders: 2}); !d.Admitted {
 			t.Errorf("session %d is rejected again at its turn in %s: %+v", session, turns[session], d)
 		}
 	}
@@ -49,10 +49,10 @@
 		want      bool
 	}{
 		{"free slots", 300 * time.Millisecond, Room{}, 0, true},
-		{"a short queue", 300 * time.Millisecond, Room{Waiting: 10, Slots: 100, RunTime: time.Second}, 0, true},
+		{"a short queue", 300 * time.Millisecond, Room{Waiting: 10, Slots: 100, RunTime: time.Second, Deciders: 2}, 0, true},
 		{"a long queue", 300 * time.Millisecond, full, 0, false},
 		{"sent before", 0, full, 0, true},
-		{"unknown run time", 300 * time.Millisecond, Room{Waiting: 100, Slots: 100}, 0, true},
+		{"unknown run time", 300 * time.Millisecond, Room{Waiting: 100, Slots: 100, Deciders: 2}, 0, true},
 		{"a while later", 300 * time.Millisecond, full, 4 * time.Second, true},
 		{"long after", 300 * time.Millisecond, full, time.Hour, true},
 	} {
--- a/policy/fairshare/load_test.go
+++ b/policy/fairshare/load_test.go
@@ -52,9 +52,9 @@
 	start := time.Unix(1000, 0)
 	offer := func(a attempt) {
 		running = slices.DeleteFunc(running, func(end time.Duration) bool { return end <= a.arrives })
-		room := Room{Waiting: max(0, len(running)-slots), Slots: slots, RunTime: meanRun}
-		left := a.sent + deadline - a.arrives
-		refused, retryAfter := room.Wait() > left/2, max(200*time.Millisecond, room.Wait())
+		room := Room{Waiting: max(0, len(running)-slots), Slots: slots, RunTime: runTime}
+		left, wait := a.sent+deadline-a.arrives, meanRun*time.Duration(room.Waiting)/slots
+		refused, retryAfter := wait > left/2, max(200*time.Millisecond, wait)
 		if c != nil && !refused {
 			d := c.Admit(start.Add(a.arrives), Request{Workspace: a.source.workspace, Priority: a.source.priority, Work: a.source.size, Session: a.session, Objective: objective}, room)
 			refused, retryAfter = !d.Admitted, d.RetryAfter
