--- a/policy/fairshare/fairshare.go
+++ b/policy/fairshare/fairshare.go
@@ -12,6 +12,8 @@
 	// targetShare is the share of its latency objective that a request may be expected to wait
 	// for a slot; the rest is for its run and for the network.
 	targetShare = 0.4
+	// longestShare is that share for a workspace below its share.
+	longestShare = 0.6
 	// priorityMinimum is the ratio of the served share of a priority to that of all requests,
 	// and workspaceMinimum that of a workspace to its priority, below which neither falls: their
 	// product stays above a quarter.
@@ -204,7 +206,7 @@
 		s.allocatedAt = now
 		s.allocate(s.scale(now), target/wait, rate/float64(max(1, room.Deciders)))
 	}
-	if f.small && wait <= float64(r.Objective) {
+	if f.small && wait <= longestShare*float64(r.Objective) {
 		return true
 	}
 	f.granted = min(f.granted, maxLead*max(f.limit, work))
