--- a/policy/fairshare/fairshare.go
+++ b/policy/fairshare/fairshare.go
@@ -12,7 +12,8 @@
 	// targetShare is the share of its latency objective that a request may be expected to wait
 	// for a slot; the rest is for its run and for the network.
 	targetShare = 0.4
-	// longestShare is that share for a workspace below its share.
+	// longestShare is that share for workspaces below their share if these alone would keep the
+	// queue long. Otherwise the queue gets shorter soon, and they may wait for all of the objective.
 	longestShare = 0.6
 	// priorityMinimum is the ratio of the served share of a priority to that of all requests,
 	// and workspaceMinimum that of a workspace to its priority, below which neither falls: their
@@ -128,6 +129,8 @@
 	ends                             endRate
 	// wait is the time in nanoseconds for which the last request was expected to wait.
 	wait float64
+	// smallFit is set if the workspaces below their share ask for less than what is granted.
+	smallFit bool
 	// rejects is set from the first rejection until calmTime after the last one.
 	rejects bool
 }
@@ -206,7 +209,7 @@
 		s.allocatedAt = now
 		s.allocate(s.scale(now), target/wait, rate/float64(max(1, room.Deciders)))
 	}
-	if f.small && wait <= longestShare*float64(r.Objective) {
+	if f.small && (wait <= longestShare*float64(r.Objective) || s.smallFit && wait <= float64(r.Objective)) {
 		return true
 	}
 	f.granted = min(f.granted, maxLead*max(f.limit, work))
@@ -301,9 +304,13 @@
 	}
 	capacity := max(granted, scale*rate*s.work(0)*halfLife.Seconds()/math.Ln2)
 	s.divide(byPriority, asked, capacity, meanWeight)
+	small := 0.0
 	for _, f := range s.order {
-		f.small = f.unmet == 0
+		if f.small = f.unmet == 0; f.small {
+			small += f.asked
+		}
 	}
+	s.smallFit = small <= relief*capacity
 	s.divide(byPriority, asked, relief*capacity, meanWeight)
 }
 
