shares: a request that full servers refuse is judged again

Change: attempts after the first are judged while no server may have run the request, and do not count as granted or ended again.

--- a/node/gateway/resume.go
+++ b/node/gateway/resume.go
@@ -101,7 +101,8 @@
 		Workspace: c.caller.Name(), Priority: c.caller.PriorityOr(c.route.Priority),
 		Prompt: PromptSegments(&c.request), PromptTokens: c.request.PromptTokens, OutputTokens: c.request.OutputTokens,
 	}
-	if c.sentCount == 0 && !c.request.IsResume {
+	query.Repeated = c.sentCount > 0
+	if c.runCount == 0 && !c.request.IsResume {
 		query.Objective = c.route.LatencyObjective
 	}
 	return query
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -201,6 +201,7 @@
 	OutputTokens int64           `cbor:"5,keyasint,omitempty"`
 	// ObjectiveMs is the latency objective of a request that may be rejected as over its share.
 	ObjectiveMs int64 `cbor:"6,keyasint,omitempty"`
+	Repeated    bool  `cbor:"7,keyasint,omitempty"`
 }
 
 // promptSegment is a segment of a prompt.
@@ -296,7 +297,7 @@
 func (r *placementRequest) query() balance.Query {
 	q := r.Request.query()
 	q.Workspace, q.Priority, q.PromptTokens, q.OutputTokens = r.Workspace, r.Priority, r.PromptTokens, r.OutputTokens
-	q.Objective = time.Duration(r.ObjectiveMs) * time.Millisecond
+	q.Objective, q.Repeated = time.Duration(r.ObjectiveMs)*time.Millisecond, r.Repeated
 	for _, s := range r.Prompt {
 		q.Prompt = append(q.Prompt, balance.PromptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
@@ -306,7 +307,7 @@
 // newPlacementRequest returns the placement request of a query.
 func newPlacementRequest(request *serverRequest, q *balance.Query) *placementRequest {
 	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens}
-	r.ObjectiveMs = q.Objective.Milliseconds()
+	r.ObjectiveMs, r.Repeated = q.Objective.Milliseconds(), q.Repeated
 	for _, s := range q.Prompt {
 		r.Prompt = append(r.Prompt, promptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
--- a/node/peers/shares.go
+++ b/node/peers/shares.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	request := fairshare.Request{
-		Service: q.Service, Workspace: q.Workspace, Priority: q.Priority, Objective: q.Objective,
+		Service: q.Service, Workspace: q.Workspace, Priority: q.Priority, Objective: q.Objective, Repeated: q.Repeated,
 		Work: fairshare.Work(q.PromptTokens, q.OutputTokens),
 	}
 	if w := revision.Workspaces.Workspace(q.Workspace); w != nil {
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -53,8 +53,10 @@
 	// output; zero if not stated.
 	PromptTokens, OutputTokens int64
 	// Objective is the latency objective of a request that may be rejected as over its share;
-	// zero if it may not, because it was sent to a server before.
+	// zero if it may not, because a server may have run it.
 	Objective time.Duration
+	// Repeated is set for a request that was sent to a server before.
+	Repeated bool
 }
 
 // PromptSegment is a part of a prompt, identified by the hash of its ID.
--- a/policy/fairshare/fairshare.go
+++ b/policy/fairshare/fairshare.go
@@ -78,6 +78,9 @@
 	Work float64
 	// Objective is the latency objective. A request without one is counted, but admitted.
 	Objective time.Duration
+	// Repeated is set for a request that was admitted before and that a server has refused. It is
+	// judged again, but not counted again.
+	Repeated bool
 }
 
 // Room is the room that a service has for online requests.
@@ -163,7 +166,8 @@
 	session uint32
 }
 
-// Admit decides on a request. An admitted one counts as granted.
+// Admit decides on a request. An admitted one counts as granted. A request that servers refuse,
+// because their queues are full, is judged each time, so that it does not try all of them.
 func (c *Controller) Admit(now time.Time, r Request, room Room) Decision {
 	c.sweep(now)
 	s := c.service(now, r.Service)
@@ -178,9 +182,15 @@
 	f.weight, f.askedAt, s.askedAt = r.Weight, now, now
 	work := s.work(r.Work)
 	scale := s.scale(now)
-	f.asked += work * scale
+	if r.Repeated {
+		f.granted = max(0, f.granted-work*scale)
+	} else {
+		f.asked += work * scale
+	}
 	if d.Admitted = s.admits(now, f, &r, work*scale, room); d.Admitted {
-		s.ends.admitted++
+		if !r.Repeated {
+			s.ends.admitted++
+		}
 		f.granted += work * scale
 		delete(s.turns, turnKey{f.flowKey, r.Session})
 		return d
--- a/policy/fairshare/fairshare_test.go
+++ b/policy/fairshare/fairshare_test.go
@@ -69,6 +69,35 @@
 	}
 }
 
+// Guards against requests that go from one full server to the next, and against a rate of ends
+// that counts their refusals, which would hide that there is no room.
+func TestRequestsRefusedByFullServers(t *testing.T) {
+	var c Controller
+	r := Request{Service: "s", Workspace: "w", Objective: 300 * time.Millisecond}
+	rejected, inFlight, now := 0, 100, begin
+	for i := range 500 {
+		admitted := true
+		for sent := 0; sent < 4 && admitted; sent++ { // three servers refuse each request
+			now = now.Add(time.Millisecond)
+			r.Repeated = sent > 0
+			admitted = c.Admit(now, r, Room{Waiting: inFlight - 100, Slots: 100}).Admitted
+		}
+		now = begin.Add(time.Duration(i) * 4 * time.Millisecond)
+		if admitted {
+			inFlight++
+		} else {
+			rejected++
+		}
+		if i%5 < 2 {
+			inFlight--
+		}
+	}
+	// 250 requests a second came and 100 ended.
+	if inFlight > 100+60 || rejected < 200 {
+		t.Errorf("%d requests wait, %d were rejected", inFlight-100, rejected)
+	}
+}
+
 // Guards against state that grows with the names that callers bring, and that is kept for ever.
 func TestStateIsBounded(t *testing.T) {
 	var c Controller
