fairshare: a quarter of the objective is for the wait

Change: aim at 0.25 of the objective, 0.4 for workspaces below their share, 0.8 while the queue shortens. The load test counts 120 ms until the first event.

--- a/policy/fairshare/fairshare.go
+++ b/policy/fairshare/fairshare.go
@@ -10,11 +10,13 @@
 	// of a small workspace and short enough for a burst of a few seconds.
 	halfLife = 500 * time.Millisecond
 	// targetShare is the share of its latency objective that a request may be expected to wait
-	// for a slot; the rest is for its run and for the network.
-	targetShare = 0.4
-	// longestShare is that share for workspaces below their share if these alone would keep the
-	// queue long. Otherwise the queue gets shorter soon, and they may wait for all of the objective.
-	longestShare = 0.6
+	// for a slot. The rest is for its first event, which takes long on a server whose slots are
+	// all taken, and for the network.
+	targetShare = 0.25
+	// longestShare is that share for workspaces below their share, and drainingShare if these
+	// alone do not keep the queue long, so that it gets shorter soon.
+	longestShare  = 0.4
+	drainingShare = 0.8
 	// priorityMinimum is the ratio of the served share of a priority to that of all requests,
 	// and workspaceMinimum that of a workspace to its priority, below which neither falls: their
 	// product stays above a quarter.
@@ -219,7 +221,7 @@
 		s.allocatedAt = now
 		s.allocate(s.scale(now), target/wait, rate/float64(max(1, room.Deciders)))
 	}
-	if f.small && (wait <= longestShare*float64(r.Objective) || s.smallFit && wait <= float64(r.Objective)) {
+	if f.small && (wait <= longestShare*float64(r.Objective) || s.smallFit && wait <= drainingShare*float64(r.Objective)) {
 		return true
 	}
 	f.granted = min(f.granted, maxLead*max(f.limit, work))
--- a/policy/fairshare/load_test.go
+++ b/policy/fairshare/load_test.go
@@ -12,10 +12,13 @@
 	slots     = 100
 	runTime   = 200 * time.Millisecond // so that 500 requests a second are finished
 	objective = 300 * time.Millisecond
-	deadline  = 5 * time.Second
-	dayLength = 30 * time.Second
-	step      = time.Millisecond
-	sessions  = 50 // of each workspace
+	// firstEvent is the time from the start of a request until its first event while all slots
+	// are taken.
+	firstEvent = 120 * time.Millisecond
+	deadline   = 5 * time.Second
+	dayLength  = 30 * time.Second
+	step       = time.Millisecond
+	sessions   = 50 // of each workspace
 )
 
 // source sends requests of one workspace and priority.
@@ -80,7 +83,7 @@
 		}
 		a.source.served++
 		a.source.servedSessions[a.session]++
-		if begins-a.arrives <= objective && (begins-a.sent <= objective || a.again) {
+		if first := begins + firstEvent; first-a.arrives <= objective && (first-a.sent <= objective || a.again) {
 			a.source.inTime++
 		}
 	}
