fairshare: at least an eighth of what the servers finish is granted; tests follow the shorter queue

With a wait of 13 times the aim nearly nothing was granted, and a workspace was shut out for over 4 s. Change: the relief is an eighth at least.

--- a/policy/fairshare/fairshare.go
+++ b/policy/fairshare/fairshare.go
@@ -13,10 +13,12 @@
 	// for a slot. The rest is for its first event, which takes long on a server whose slots are
 	// all taken, and for the network.
 	targetShare = 0.25
-	// longestShare is that share for workspaces below their share, and drainingShare if these
-	// alone do not keep the queue long, so that it gets shorter soon.
-	longestShare  = 0.4
-	drainingShare = 0.8
+	// longestShare is that share for workspaces below their share. If these alone do not keep the
+	// queue long, it gets shorter soon, and they may wait for all of the objective.
+	longestShare = 0.4
+	// minRelief is the least part of what the servers finish that is granted, also while the queue
+	// does not get shorter.
+	minRelief = 0.125
 	// priorityMinimum is the ratio of the served share of a priority to that of all requests,
 	// and workspaceMinimum that of a workspace to its priority, below which neither falls: their
 	// product stays above a quarter.
@@ -219,9 +221,9 @@
 	}
 	if age := now.Sub(s.allocatedAt); age < 0 || age >= allocationInterval {
 		s.allocatedAt = now
-		s.allocate(s.scale(now), target/wait, rate/float64(max(1, room.Deciders)))
+		s.allocate(s.scale(now), max(minRelief, target/wait), rate/float64(max(1, room.Deciders)))
 	}
-	if f.small && (wait <= longestShare*float64(r.Objective) || s.smallFit && wait <= drainingShare*float64(r.Objective)) {
+	if f.small && (wait <= longestShare*float64(r.Objective) || s.smallFit && wait <= float64(r.Objective)) {
 		return true
 	}
 	f.granted = min(f.granted, maxLead*max(f.limit, work))
