--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -72,6 +72,9 @@
 // causeBlocked is the cause of the refusal of a request under which servers crash.
 const causeBlocked = "held back: servers crash under such requests"
 
+// causeOverShare is the cause of the refusal of a request whose workspace has its share already.
+const causeOverShare = "too little room: the workspace has its share already"
+
 // Causes for which an attempt is cancelled or a request is given up.
 var (
 	errServerTimeout      = errors.New("gateway: server did not respond in time")
@@ -120,7 +123,7 @@
 	lastErr  error
 	// charged is set once the request counts in its workspace's quota.
 	charged bool
-	// rejection is why the request gets no server, if the reason is the caller's workspace.
+	// rejection is why the request gets no server, if it is over its workspace's quota or share.
 	rejection *balance.Rejection
 }
 
@@ -196,7 +199,7 @@
 		}
 		lease, reason := c.acquireServer()
 		switch {
-		case c.rejection != nil:
+		case reason == causeOverQuota:
 			c.refuseOverQuota()
 			return
 		case reason != "":
@@ -266,6 +269,10 @@
 		} else if rejection.Reason == balance.OverQuota {
 			c.rejection = rejection
 			return nil, causeOverQuota
+		} else if rejection.Reason == balance.OverShare {
+			c.gateway.Metrics.count("over_share")
+			c.rejection = rejection
+			return nil, causeOverShare
 		}
 		if !c.mayWaitForRate() {
 			return nil, reason
@@ -526,9 +533,12 @@
 	return !c.deadline.IsZero() && time.Until(c.deadline) <= deadlineMargin
 }
 
-// retryAfter returns the expected time until the servers have run the requests that are
-// queued already.
+// retryAfter returns the time until the turn of a request over its share, and otherwise the
+// expected time until the servers have run the requests that are queued already.
 func (c *call) retryAfter() time.Duration {
+	if c.rejection != nil && c.rejection.RetryAfter > 0 {
+		return c.rejection.RetryAfter
+	}
 	if c.gateway.View.RateLimited(c.service) {
 		// The requests that are refused at the same time return one after the other.
 		return minRetryAfter + rand.N(rateRetrySpread)
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -202,8 +202,12 @@
 	OutputTokens int64           `cbor:"5,keyasint,omitempty"`
 	// Charged is set if the request counts in the workspace's quota already, or not at all.
 	Charged bool `cbor:"6,keyasint,omitempty"`
+	// ObjectiveMs is the latency objective of a request that may be rejected as over its share,
+	// and Repeated is set if it was sent to a server before.
+	ObjectiveMs int64 `cbor:"7,keyasint,omitempty"`
+	Repeated    bool  `cbor:"8,keyasint,omitempty"`
 	// Bytes is the size of the body.
-	Bytes int64 `cbor:"20,keyasint,omitempty"`
+	Bytes int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // promptSegment is a segment of a prompt.
@@ -302,6 +306,7 @@
 	q := r.Request.query()
 	q.Workspace, q.Priority, q.Charged = r.Workspace, r.Priority, r.Charged
 	q.PromptTokens, q.OutputTokens, q.Bytes = r.PromptTokens, r.OutputTokens, r.Bytes
+	q.Objective, q.Repeated = time.Duration(r.ObjectiveMs)*time.Millisecond, r.Repeated
 	for _, s := range r.Prompt {
 		q.Prompt = append(q.Prompt, balance.PromptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
@@ -312,6 +317,7 @@
 func newPlacementRequest(request *serverRequest, q *balance.Query) *placementRequest {
 	r := &placementRequest{
 		Request: *request, Workspace: q.Workspace, Priority: q.Priority, Charged: q.Charged,
+		ObjectiveMs: q.Objective.Milliseconds(), Repeated: q.Repeated,
 		PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Bytes: q.Bytes,
 	}
 	for _, s := range q.Prompt {
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -194,6 +194,7 @@
 	metrics.Set("gateway", i.gateway.Metrics.Map())
 	metrics.Set("containment", i.group.ContainmentMetrics())
 	metrics.Set("workspace_quotas", i.group.QuotaMetrics())
+	metrics.Set("shares", i.group.ShareMetrics())
 	metrics.Set("jobs", i.jobMetrics.Map())
 	metrics.Set("prompts", expvar.Func(func() any { return i.view.PromptStats() }))
 	metrics.Set("waiting_tokens", i.index.WaitingMetrics())
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -56,6 +56,11 @@
 	PromptTokens, OutputTokens int64
 	// Bytes is the size of the body.
 	Bytes int64
+	// Objective is the latency objective of a request that may be rejected as over its share;
+	// zero if it may not, because a server may have run it.
+	Objective time.Duration
+	// Repeated is set for a request that was sent to a server before.
+	Repeated bool
 }
 
 // Rejection is why a request gets no server now.
