placement: what servers state of their pace and load

X-Server-Load with a fourth figure was dropped whole, and nobody read the load of a response. Servers on shared machines are slow up to 2.5 times for 0.6 s in turn, and the picker could not know.

The figure is parsed (three or four, bounded), kept with its age by server, reported to the hub in a datagram of its own and added to the score of online requests; measured steps are divided by it, so that step times tell servers apart that differ for good. Requests that only the server counts fill slots for 0.1 s. Servers that state no pace are scored as before.

--- a/domain/serving/request.go
+++ b/domain/serving/request.go
@@ -40,7 +40,12 @@
 }
 
 // Load is the load that a server reports in a response.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Pace is the time that work takes on the server at the moment, in percent of the usual time;
+	// zero if the server does not state it.
+	Pace int
+}
 
 // Response is the information decoded from the headers of a server's response.
 type Response struct {
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/pace"
 )
 
 const (
@@ -68,6 +69,8 @@
 	// ownDepartures holds the statements of servers that they are leaving, to this instance,
 	// until they have been reported for departureReportTime.
 	ownDepartures []serving.Departure
+
+	paces paceMetrics
 }
 
 // serviceVersion is a version of the software of a service.
@@ -323,6 +326,14 @@
 	}
 }
 
+// RecordLoad records what the server states of its load in a response.
+func (l *Lease) RecordLoad(load *serving.Load) {
+	if load == nil || load.Pace == 0 {
+		return
+	}
+	l.view.recordPace(l.Server.ID, pace.Statement{Pace: load.Pace, Requests: load.Running + load.Waiting, Waiting: load.Waiting, At: time.Now()})
+}
+
 // RecordLeaving records that a server states in a response that it is leaving. The server is
 // that of the lease unless the response names another one, which has its address.
 func (l *Lease) RecordLeaving(server string) {
@@ -337,7 +348,7 @@
 // or the whole time of a response that is not streamed.
 func (l *Lease) RecordStepTime(step time.Duration) {
 	l.view.mu.Lock()
-	l.view.table.RecordStepTime(l.Server.ID, step)
+	l.view.table.RecordStep(time.Now(), l.Server.ID, step)
 	l.view.mu.Unlock()
 }
 
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -317,6 +317,7 @@
 	if parsed.Signed || parsed.RateLimit > 0 {
 		lease.RecordRateLimit(parsed.RateLimit)
 	}
+	lease.RecordLoad(parsed.Load)
 	if parsed.NotRun {
 		discardBody(response)
 		lease.End(balance.Refused)
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -182,6 +182,7 @@
 	if parsed.Signed || parsed.RateLimit > 0 {
 		lease.RecordRateLimit(parsed.RateLimit)
 	}
+	lease.RecordLoad(parsed.Load)
 	switch {
 	case parsed.NotRun:
 		// A read error also makes Close discard the connection.
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -40,6 +40,7 @@
 	kindOriginReply
 	kindPlacementRequest
 	kindPlacement
+	kindPaces
 )
 
 // Versions of the protocol between instances. An instance states the version that it
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -99,6 +99,8 @@
 	containment containment
 	// entriesMissing is set when a roster names an instance whose entry is not known.
 	entriesMissing bool
+	// pacesSentAt is the time of the last paceReport.
+	pacesSentAt time.Time
 	// alive is the result of Alive at aliveAt.
 	alive   map[string]uint32
 	aliveAt time.Time
@@ -174,6 +176,8 @@
 		return handle(raw, from, func(b *brokenRun, _ netip.AddrPort) { g.onBrokenRun(b) })
 	case kindRates:
 		return handle(raw, from, g.onRates)
+	case kindPaces:
+		return handle(raw, from, g.onPaces)
 	case kindDepartures:
 		return handle(raw, from, g.onDepartures)
 	case kindOrigins:
--- a/node/peers/report.go
+++ b/node/peers/report.go
@@ -87,8 +87,13 @@
 			rates = &rateReport{Name: g.opt.Name, IncludedGrants: report.IncludedGrants, Servers: encodeRates(now, own)}
 		}
 	}
+	nextPaces, pacesTo, paces := g.pacesDue(now)
+	next = earlier(next, nextPaces)
 	isHub := g.hub.active
 	g.mu.Unlock()
+	if paces != nil {
+		g.send(kindPaces, paces, pacesTo)
+	}
 	if report != nil {
 		g.send(kindLoadReport, report, due...)
 	}
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -172,9 +172,9 @@
 
 func (s *serverState) tier() tier {
 	switch {
-	case s.inFlight() < s.slots():
+	case s.load() < s.slots():
 		return tierFree
-	case s.own[Online]+s.peers[Online] < s.slots():
+	case s.own[Online]+s.peers[Online]+s.unknown < s.slots():
 		return tierPreempt
 	}
 	return tierQueue
@@ -217,6 +217,7 @@
 	t.findUrgentWaits(now, &q)
 	smallServersFull := q.Class == Batch && group.smallServersFull(now, q.Headroom)
 	for _, s := range group.servers {
+		s.updateUnknown(now, &q)
 		switch {
 		case !s.eligible(&q):
 		case !t.rateAllows(now, s, q):
@@ -237,9 +238,9 @@
 // hasBatchSlot reports whether a batch request may take a slot of the server.
 func (s *serverState) hasBatchSlot(headroom int, smallServersFull bool) bool {
 	if s.slots() > headroom {
-		return s.inFlight()+headroom < s.slots()
+		return s.load()+headroom < s.slots()
 	}
-	return s.inFlight() < s.slots() && !smallServersFull
+	return s.load() < s.slots() && !smallServersFull
 }
 
 // smallServersFull reports whether no batch request may take a slot of the servers that have no
@@ -375,12 +376,13 @@
 
 // score returns the expected cost of a server; the server with the lowest is best.
 func (s *serverState) score(now time.Time, q Query, tier tier, median time.Duration) float64 {
-	slots, inFlight := float64(s.slots()), float64(s.inFlight())
-	online := float64(s.own[Online] + s.peers[Online])
+	slots, inFlight := float64(s.slots()), float64(s.load())
+	online := float64(s.own[Online] + s.peers[Online] + s.unknown)
 	ratio := 1.0
 	if s.stepTime > 0 && median > 0 {
 		ratio = float64(s.stepTime) / float64(median)
 	}
+	slowdown := s.slowdown(now, q.Class)
 	slowness := slowness(q.Class, ratio)
 	var score float64
 	switch tier {
@@ -391,7 +393,7 @@
 	default:
 		score = preemptionBaseCost + preemptionLoadCost + queueLoadCost*slowness*(online+1-slots)/slots
 	}
-	score += q.deadlineCost(ratio)
+	score += slowdownCost(slowdown) + q.deadlineCost(ratio*slowdown)
 	if rate := s.failureRate(now); rate > 0 {
 		perFailure := failureCost
 		if q.AtMostOnce {
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/policy/pace"
 	"github.com/jacinthnotch/jacinthnotch/policy/ratelimit"
 )
 
@@ -114,6 +115,12 @@
 	// surplusSince is when the server was first seen with more requests in flight than
 	// slots, zero while it has not; preemptedAt is the time of the last preemption there.
 	surplusSince, preemptedAt time.Time
+	// pace is what the server stated of itself, and unusualReportedAt the time of the last
+	// statement that this instance reported, zero if that was the usual pace.
+	pace              pace.State
+	unusualReportedAt time.Time
+	// unknown is the number of requests that only the server knows of.
+	unknown int
 }
 
 // serviceState is the group of servers of one service.
@@ -186,7 +193,9 @@
 	batchWaits map[string]batchWait
 	// urgentWaits is the buffer of findUrgentWaits.
 	urgentWaits []batchWait
-	random      *rand.Rand
+	// unreportedPaces holds the servers with a statement for TakePaces.
+	unreportedPaces map[string]*serverState
+	random          *rand.Rand
 	// candidates is the buffer of Pick.
 	candidates []candidate
 }
@@ -196,6 +205,7 @@
 	return &Table{
 		servers: map[string]*serverState{}, services: map[string]*serviceState{}, active: map[string]*serverState{},
 		peers: map[string]*peerReport{}, peerStarts: map[string]*peerStarts{}, batchWaits: map[string]batchWait{}, random: random,
+		unreportedPaces: map[string]*serverState{},
 	}
 }
 
@@ -207,6 +217,7 @@
 		if server == nil || server.Started != s.server.Started || server.Address != s.server.Address {
 			delete(t.servers, id)
 			delete(t.active, id)
+			delete(t.unreportedPaces, id)
 		}
 	}
 	clear(t.services)
@@ -432,6 +443,7 @@
 		return
 	}
 	withinSlots := s.inFlight() <= s.slots()
+	s.pace.RequestEnded()
 	s.own[class] = max(0, s.own[class]-1)
 	t.active[server] = s
 	t.version.Changes++
