--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -41,6 +41,7 @@
 	kindPlacementRequest
 	kindPlacement
 	kindQuotaReport
+	kindPaces
 )
 
 // Versions of the protocol between instances. An instance states the version that it
