--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -69,6 +69,10 @@
 	now := time.Now()
 	g.mu.Lock()
 	p := g.recordHeard(report.Name, from)
+	if g.peers[report.Name] == nil {
+		g.mu.Unlock()
+		return
+	}
 	p.Incarnation, p.leaving, p.reachesStore, p.protocol = report.Incarnation, report.Leaving, report.ReachesStore, report.Protocol
 	isFirst := now.Sub(p.reportedAt) > heardTTL
 	p.reportedAt = now
@@ -361,6 +365,9 @@
 	if !warm && request.Class == balance.Batch {
 		return balance.Choice{}, &balance.Rejection{}
 	}
+	if rejection := g.checkShare(&q); rejection != nil {
+		return balance.Choice{}, rejection
+	}
 	choice, ok := g.opt.View.PickForPeer(request.Name, request.Sequence, q)
 	if !ok {
 		return balance.Choice{}, &balance.Rejection{}
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -37,6 +37,8 @@
 	aliveCacheTTL = 50 * time.Millisecond
 	// maxDatagramBytes is the maximum size of a datagram.
 	maxDatagramBytes = 64 << 10
+	// maxPeers limits the instances that are known by name.
+	maxPeers = 4096
 )
 
 // Options are the options of a Group.
@@ -98,8 +100,12 @@
 	// containment has its own lock.
 	containment containment
 	quota       quotaState
+	// shares has its own lock.
+	shares shares
 	// entriesMissing is set when a roster names an instance whose entry is not known.
 	entriesMissing bool
+	// pacesSentAt is the time of the last paceReport.
+	pacesSentAt time.Time
 	// alive is the result of Alive at aliveAt.
 	alive   map[string]uint32
 	aliveAt time.Time
@@ -175,6 +181,8 @@
 		return handle(raw, from, func(b *brokenRun, _ netip.AddrPort) { g.onBrokenRun(b) })
 	case kindRates:
 		return handle(raw, from, g.onRates)
+	case kindPaces:
+		return handle(raw, from, g.onPaces)
 	case kindDepartures:
 		return handle(raw, from, g.onDepartures)
 	case kindOrigins:
@@ -216,6 +224,9 @@
 	p := g.peers[name]
 	if p == nil {
 		p = &peer{name: name, discoveredAt: now, loggedLive: true}
+		if len(g.peers) >= maxPeers {
+			return p // not recorded: no fleet has as many, so that most names are made up
+		}
 		g.peers[name] = p
 		g.peersByHash[hash(name)] = p
 		g.order = nil
--- a/node/peers/place.go
+++ b/node/peers/place.go
@@ -51,6 +51,9 @@
 			return g.askStandby(hub, q, rejection)
 		}
 	}
+	if rejection := g.checkShare(&q); rejection != nil {
+		return nil, rejection
+	}
 	return g.pickCharged(q)
 }
 
@@ -69,9 +72,15 @@
 	if rejection := g.admitAsHub(&q); rejection != nil {
 		return nil, rejection
 	}
-	lease, rejection := g.pick(q)
+	rejection := g.checkShare(&q)
+	var lease *fleet.Lease
+	if rejection == nil {
+		lease, rejection = g.pick(q)
+	}
 	if rejection != nil {
-		g.ReturnQuota(q)
+		if !q.Charged {
+			g.ReturnQuota(q)
+		}
 		return nil, rejection
 	}
 	lease.Picker = g.opt.Name
--- a/node/peers/report.go
+++ b/node/peers/report.go
@@ -91,10 +91,15 @@
 			rates = &rateReport{Name: g.opt.Name, IncludedGrants: report.IncludedGrants, Servers: encodeRates(now, own)}
 		}
 	}
+	nextPaces, pacesTo, paces := g.pacesDue(now)
+	next = earlier(next, nextPaces)
 	isHub := g.hub.active
 	quotaReports := g.quotaReportsDue(now)
 	g.mu.Unlock()
 	g.sendQuotaReports(quotaReports)
+	if paces != nil {
+		g.send(kindPaces, paces, pacesTo)
+	}
 	if report != nil {
 		g.send(kindLoadReport, report, due...)
 	}
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/policy/pace"
 	"github.com/jacinthnotch/jacinthnotch/policy/promptcache"
 	"github.com/jacinthnotch/jacinthnotch/policy/ratelimit"
 	"github.com/jacinthnotch/jacinthnotch/policy/servermemory"
@@ -123,6 +124,12 @@
 	recent float64
 	// memory is what the requests on the server hold; nil if none is known.
 	memory *servermemory.Server
+	// pace is what the server stated of itself, and unusualReportedAt the time of the last
+	// statement that this instance reported, zero if that was the usual pace.
+	pace              pace.State
+	unusualReportedAt time.Time
+	// unknown is the number of requests that only the server knows of.
+	unknown int
 }
 
 // serviceState is the group of servers of one service.
@@ -195,7 +202,9 @@
 	batchWaits map[string]batchWait
 	// urgentWaits is the buffer of findUrgentWaits.
 	urgentWaits []batchWait
-	random      *rand.Rand
+	// unreportedPaces holds the servers with a statement for TakePaces.
+	unreportedPaces map[string]*serverState
+	random          *rand.Rand
 	// candidates is the buffer of Pick.
 	candidates []candidate
 	// prompts holds the prompt caches by service, for those whose capacity is known.
@@ -207,6 +216,7 @@
 	return &Table{
 		servers: map[string]*serverState{}, services: map[string]*serviceState{}, active: map[string]*serverState{},
 		peers: map[string]*peerReport{}, peerStarts: map[string]*peerStarts{}, batchWaits: map[string]batchWait{}, random: random,
+		unreportedPaces: map[string]*serverState{},
 	}
 }
 
@@ -219,6 +229,7 @@
 			t.recordStop(s)
 			delete(t.servers, id)
 			delete(t.active, id)
+			delete(t.unreportedPaces, id)
 		} else if server.Version != s.server.Version || server.Service != s.server.Service {
 			s.forgetPrompts()
 		}
@@ -447,6 +458,7 @@
 		return
 	}
 	withinSlots := s.inFlight() <= s.slots()
+	s.pace.RequestEnded()
 	s.own[class] = max(0, s.own[class]-1)
 	t.active[server] = s
 	t.version.Changes++
