--- a/policy/fairshare/fairshare.go
+++ b/policy/fairshare/fairshare.go
@@ -13,9 +13,11 @@
 	// for a slot. The rest is for its first event, which takes long on a server whose slots are
 	// all taken, and for the network.
 	targetShare = 0.25
-	// longestShare is that share for workspaces below their share. If these alone do not keep the
-	// queue long, it gets shorter soon, and they may wait for all of the objective.
-	longestShare = 0.4
+	// longestShare is that share for workspaces below their share. If these ask for no more than
+	// smallFitShare of what the servers finish, they are always admitted: the queue gets shorter
+	// without them.
+	longestShare  = 0.4
+	smallFitShare = 0.5
 	// minRelief is the least part of what the servers finish that is granted, also while the queue
 	// does not get shorter.
 	minRelief = 0.125
@@ -136,7 +138,7 @@
 	ends                             endRate
 	// wait is the time in nanoseconds for which the last request was expected to wait.
 	wait float64
-	// smallFit is set if the workspaces below their share ask for less than what is granted.
+	// smallFit is set if the workspaces below their share ask for at most smallFitShare.
 	smallFit bool
 	// rejects is set from the first rejection until calmTime after the last one.
 	rejects bool
@@ -223,7 +225,7 @@
 		s.allocatedAt = now
 		s.allocate(s.scale(now), max(minRelief, target/wait), rate/float64(max(1, room.Deciders)))
 	}
-	if f.small && (wait <= longestShare*float64(r.Objective) || s.smallFit && wait <= float64(r.Objective)) {
+	if f.small && (wait <= longestShare*float64(r.Objective) || s.smallFit) {
 		return true
 	}
 	f.granted = min(f.granted, maxLead*max(f.limit, work))
@@ -324,7 +326,7 @@
 			small += f.asked
 		}
 	}
-	s.smallFit = small <= relief*capacity
+	s.smallFit = small <= smallFitShare*capacity
 	s.divide(byPriority, asked, relief*capacity, meanWeight)
 }
 
