--- a/domain/serving/request.go
+++ b/domain/serving/request.go
@@ -15,6 +15,8 @@
 	// Resumes is the ID of the caller's attempt that brought the first event of the stream;
 	// empty if not stated.
 	Resumes string
+	// Model is the name of the model; empty if not stated.
+	Model string
 	// PromptTokens is the length of the prompt and OutputTokens the maximum length of
 	// the output; zero if not stated.
 	PromptTokens, OutputTokens int64
@@ -40,7 +42,12 @@
 }
 
 // Load is the load that a server reports in a response.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Pace is the time that work takes on the server at the moment, in percent of the usual time;
+	// zero if the server does not state it.
+	Pace int
+}
 
 // Response is the information decoded from the headers of a server's response.
 type Response struct {
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
+	"github.com/jacinthnotch/jacinthnotch/policy/pace"
 )
 
 const (
@@ -71,6 +72,10 @@
 	// ownDepartures holds the statements of servers that they are leaving, to this instance,
 	// until they have been reported for departureReportTime.
 	ownDepartures []serving.Departure
+	// byteBounds holds the logged numbers of bytes above which servers crash, by service.
+	byteBounds map[string]int64
+
+	paces paceMetrics
 }
 
 // serviceVersion is a version of the software of a service.
@@ -78,7 +83,7 @@
 
 // NewView returns an empty view.
 func NewView(random *rand.Rand) *View {
-	return &View{ready: make(chan struct{}), registry: serving.NewRegistry(), table: balance.NewTable(random), runTimes: map[string]time.Duration{}, versions: map[serviceVersion]time.Time{}}
+	return &View{ready: make(chan struct{}), registry: serving.NewRegistry(), table: balance.NewTable(random), runTimes: map[string]time.Duration{}, versions: map[serviceVersion]time.Time{}, byteBounds: map[string]int64{}}
 }
 
 // Revision returns the configuration in force, or nil if none has been read yet.
@@ -122,6 +127,7 @@
 			return
 		}
 		if v.revision.CompareAndSwap(old, next) {
+			v.trackPrompts(next)
 			klog.InfoS("configuration in force", "version", next.Version, "routes", len(next.Routes), "services", len(next.Services), "workspaces", len(next.Workspaces.All()), "keys", next.Workspaces.Keys())
 			for _, problem := range next.Problems[:min(len(next.Problems), maxLoggedProblems)] {
 				klog.InfoS("part of the configuration ignored", "version", next.Version, "cause", problem)
@@ -326,6 +332,14 @@
 	}
 }
 
+// RecordLoad records what the server states of its load in a response.
+func (l *Lease) RecordLoad(load *serving.Load) {
+	if load == nil || load.Pace == 0 {
+		return
+	}
+	l.view.recordPace(l.Server.ID, pace.Statement{Pace: load.Pace, Requests: load.Running + load.Waiting, Waiting: load.Waiting, At: time.Now()})
+}
+
 // RecordLeaving records that a server states in a response that it is leaving. The server is
 // that of the lease unless the response names another one, which has its address.
 func (l *Lease) RecordLeaving(server string) {
@@ -340,7 +354,7 @@
 // or the whole time of a response that is not streamed.
 func (l *Lease) RecordStepTime(step time.Duration) {
 	l.view.mu.Lock()
-	l.view.table.RecordStepTime(l.Server.ID, step)
+	l.view.table.RecordStep(time.Now(), l.Server.ID, step)
 	l.view.mu.Unlock()
 }
 
@@ -584,6 +598,7 @@
 	maps.DeleteFunc(v.versions, func(_ serviceVersion, at time.Time) bool { return now.Sub(at) > versionMemory })
 	v.servers = next
 	v.table.SetServers(next)
+	v.logByteBounds()
 	v.serversVersion.Add(1)
 }
 
--- a/node/gateway/conn.go
+++ b/node/gateway/conn.go
@@ -20,3 +20,10 @@
 		_ = tcp.SetLinger(0) // an error means that the connection is closed
 	}
 }
+
+// Hold counts bytes that a handler holds for a response, in the account of the caller's
+// connection, until the response is complete. It returns false if they do not fit.
+func Hold(ctx context.Context, n int) bool {
+	conn, ok := ctx.Value(connKey{}).(interface{ Hold(n int) bool })
+	return !ok || conn.Hold(n)
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/origin"
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/domain/workspace"
+	"github.com/jacinthnotch/jacinthnotch/node/edge"
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/budget"
@@ -57,6 +58,12 @@
 	Place(q balance.Query) (*fleet.Lease, *balance.Rejection)
 }
 
+// Quotas counts the requests of workspaces.
+type Quotas interface {
+	// ReturnQuota takes a request back that was placed and has not run.
+	ReturnQuota(q balance.Query)
+}
+
 // Containment blocks the requests that crash the servers that run them.
 type Containment interface {
 	// Blocked reports whether the request is blocked.
@@ -83,11 +90,13 @@
 
 // Gateway is the HTTP handler for callers' requests.
 type Gateway struct {
-	View        *fleet.View
-	Pool        *exchange.Pool
-	Protocol    Protocol
-	Jobs        Jobs
-	Placer      Placer
+	View     *fleet.View
+	Pool     *exchange.Pool
+	Protocol Protocol
+	Jobs     Jobs
+	Placer   Placer
+	// Quotas is told of the requests that were placed and have not run; nil if nobody is.
+	Quotas      Quotas
 	Containment Containment
 	Origins     Origins
 	Metrics     *Metrics
@@ -139,6 +148,13 @@
 	blockedRetryAfter = time.Minute
 )
 
+// pressureRetryAfter is the retry delay of a request whose body was not read for want of memory,
+// and causePressure the cause of its refusal.
+const (
+	pressureRetryAfter = 300 * time.Millisecond
+	causePressure      = "no memory for the body now"
+)
+
 // causeUnknownKey is the cause of the refusal of a request without a known key.
 const causeUnknownKey = "a known key is required"
 
@@ -238,6 +254,9 @@
 	case err == nil:
 		_ = controller.SetReadDeadline(time.Time{})
 		return body, true
+	case errors.Is(err, edge.ErrPressure):
+		w.Header().Set("Connection", "close")
+		g.reject(w, id, http.StatusServiceUnavailable, pressureRetryAfter, causePressure)
 	case errors.As(err, &tooLarge):
 		g.reject(w, id, http.StatusRequestEntityTooLarge, 0, "body above the limit")
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -289,7 +308,7 @@
 func PromptSegments(request *serving.Request) []balance.PromptSegment {
 	segments := make([]balance.PromptSegment, len(request.Prompt))
 	for i, s := range request.Prompt {
-		segments[i] = balance.PromptSegment{Segment: uint32(xxhash.Sum64String(s.ID)), Tokens: s.Tokens}
+		segments[i] = balance.PromptSegment{Segment: uint32(xxhash.Sum64String(request.Model + "\x00" + s.ID)), Tokens: s.Tokens}
 	}
 	return segments
 }
--- a/node/gateway/resume.go
+++ b/node/gateway/resume.go
@@ -98,8 +98,9 @@
 	query := balance.Query{
 		Service: c.service, Class: balance.Online, AtMostOnce: !c.repeatable(), Tried: c.tried,
 		RequireVersion: c.origin.known, Version: c.origin.Version,
-		Workspace: c.caller.Name(), Priority: c.caller.PriorityOr(c.route.Priority),
+		Workspace: c.caller.Name(), Priority: c.caller.PriorityOr(c.route.Priority), Charged: c.charged || c.route.Public,
 		Prompt: PromptSegments(&c.request), PromptTokens: c.request.PromptTokens, OutputTokens: c.request.OutputTokens,
+		Bytes: int64(len(c.body)),
 	}
 	query.Repeated = c.sentCount > 0
 	if c.runCount == 0 && !c.request.IsResume {
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -69,6 +69,10 @@
 	now := time.Now()
 	g.mu.Lock()
 	p := g.recordHeard(report.Name, from)
+	if g.peers[report.Name] == nil {
+		g.mu.Unlock()
+		return
+	}
 	p.Incarnation, p.leaving, p.reachesStore, p.protocol = report.Incarnation, report.Leaving, report.ReachesStore, report.Protocol
 	isFirst := now.Sub(p.reportedAt) > heardTTL
 	p.reportedAt = now
@@ -121,6 +125,7 @@
 	}
 	g.hub.tickedAt = now
 	g.hub.roster.update(now, g.heardInstances(now))
+	g.updateReach(now)
 	_, first := g.askedHub(now)
 	var rosterTo, totalsTo, hubReportsTo []netip.AddrPort
 	for _, p := range g.peers {
@@ -328,8 +333,18 @@
 
 // onPlacementRequest picks a server for a peer's request and replies with a placement.
 func (g *Group) onPlacementRequest(request *placementRequest, from netip.AddrPort) {
-	choice, rejection := g.placeForPeer(&request.Request, request.query(), from)
-	g.send(kindPlacement, newPlacement(request.Request.Sequence, choice, rejection), from)
+	q := request.query()
+	recent, counted, rejection := g.grantQuota(&request.Request, &q)
+	var choice balance.Choice
+	if rejection == nil {
+		choice, rejection = g.placeForPeer(&request.Request, q, from)
+		if rejection != nil && counted {
+			g.dropQuotaGrant(&request.Request)
+		}
+	}
+	reply := newPlacement(request.Request.Sequence, choice, rejection)
+	reply.Recent = recent
+	g.send(kindPlacement, reply, from)
 	g.preemptFor(&request.Request, choice)
 }
 
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -40,6 +40,8 @@
 	kindOriginReply
 	kindPlacementRequest
 	kindPlacement
+	kindQuotaReport
+	kindPaces
 )
 
 // Versions of the protocol between instances. An instance states the version that it
@@ -199,9 +201,14 @@
 	Prompt       []promptSegment `cbor:"3,keyasint,omitempty"`
 	PromptTokens int64           `cbor:"4,keyasint,omitempty"`
 	OutputTokens int64           `cbor:"5,keyasint,omitempty"`
-	// ObjectiveMs is the latency objective of a request that may be rejected as over its share.
-	ObjectiveMs int64 `cbor:"6,keyasint,omitempty"`
-	Repeated    bool  `cbor:"7,keyasint,omitempty"`
+	// Charged is set if the request counts in the workspace's quota already, or not at all.
+	Charged bool `cbor:"6,keyasint,omitempty"`
+	// ObjectiveMs is the latency objective of a request that may be rejected as over its share,
+	// and Repeated is set if it was sent to a server before.
+	ObjectiveMs int64 `cbor:"7,keyasint,omitempty"`
+	Repeated    bool  `cbor:"8,keyasint,omitempty"`
+	// Bytes is the size of the body.
+	Bytes int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // promptSegment is a segment of a prompt.
@@ -218,6 +225,8 @@
 	Server       uint32 `cbor:"2,keyasint,omitempty"`
 	Reason       uint8  `cbor:"3,keyasint,omitempty"`
 	RetryAfterMs int64  `cbor:"4,keyasint,omitempty"`
+	// Recent is the number of requests of the workspace in the last window of its quota.
+	Recent int `cbor:"5,keyasint,omitempty"`
 }
 
 // grant is a hub's reply to a serverRequest; Server is zero if no server is available.
@@ -296,7 +305,8 @@
 // query returns the query of a placement request.
 func (r *placementRequest) query() balance.Query {
 	q := r.Request.query()
-	q.Workspace, q.Priority, q.PromptTokens, q.OutputTokens = r.Workspace, r.Priority, r.PromptTokens, r.OutputTokens
+	q.Workspace, q.Priority, q.Charged = r.Workspace, r.Priority, r.Charged
+	q.PromptTokens, q.OutputTokens, q.Bytes = r.PromptTokens, r.OutputTokens, r.Bytes
 	q.Objective, q.Repeated = time.Duration(r.ObjectiveMs)*time.Millisecond, r.Repeated
 	for _, s := range r.Prompt {
 		q.Prompt = append(q.Prompt, balance.PromptSegment{Segment: s.Segment, Tokens: s.Tokens})
@@ -306,8 +316,11 @@
 
 // newPlacementRequest returns the placement request of a query.
 func newPlacementRequest(request *serverRequest, q *balance.Query) *placementRequest {
-	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens}
-	r.ObjectiveMs, r.Repeated = q.Objective.Milliseconds(), q.Repeated
+	r := &placementRequest{
+		Request: *request, Workspace: q.Workspace, Priority: q.Priority, Charged: q.Charged,
+		ObjectiveMs: q.Objective.Milliseconds(), Repeated: q.Repeated,
+		PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Bytes: q.Bytes,
+	}
 	for _, s := range q.Prompt {
 		r.Prompt = append(r.Prompt, promptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
--- a/node/peers/report.go
+++ b/node/peers/report.go
@@ -68,6 +68,10 @@
 		g.recordPause(now)
 		g.livenessCheckedAt = now
 		g.updateLiveness(now)
+		g.updateQuotas(now)
+		if !g.hub.active {
+			g.updateReach(now)
+		}
 		g.preemptions.expire(now)
 	}
 	next = g.livenessCheckedAt.Add(livenessInterval)
@@ -87,8 +91,15 @@
 			rates = &rateReport{Name: g.opt.Name, IncludedGrants: report.IncludedGrants, Servers: encodeRates(now, own)}
 		}
 	}
+	nextPaces, pacesTo, paces := g.pacesDue(now)
+	next = earlier(next, nextPaces)
 	isHub := g.hub.active
+	quotaReports := g.quotaReportsDue(now)
 	g.mu.Unlock()
+	g.sendQuotaReports(quotaReports)
+	if paces != nil {
+		g.send(kindPaces, paces, pacesTo)
+	}
 	if report != nil {
 		g.send(kindLoadReport, report, due...)
 	}
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -46,12 +46,16 @@
 	// class; 0 is the most urgent.
 	Workspace string
 	Priority  int
+	// Charged is set for a request that counts in the workspace's quota already, or not at all.
+	Charged bool
 	// Prompt holds the segments of the prompt in order. The last one is the request's or its
 	// session's own.
 	Prompt []PromptSegment
 	// PromptTokens is the length of the prompt and OutputTokens the maximum length of the
 	// output; zero if not stated.
 	PromptTokens, OutputTokens int64
+	// Bytes is the size of the body.
+	Bytes int64
 	// Objective is the latency objective of a request that may be rejected as over its share;
 	// zero if it may not, because a server may have run it.
 	Objective time.Duration
@@ -59,12 +63,6 @@
 	Repeated bool
 }
 
-// PromptSegment is a part of a prompt, identified by the hash of its ID.
-type PromptSegment struct {
-	Segment uint32
-	Tokens  int64
-}
-
 // Rejection is why a request gets no server now.
 type Rejection struct {
 	Reason Reason
@@ -161,9 +159,13 @@
 }
 
 // better reports whether c is the better choice. Servers of equal score are ordered by
-// their IDs, so that the choice does not depend on the order of the list.
+// their recent requests with a prompt and then by their IDs, so that the choice does not depend
+// on the order of the list.
 func (c candidate) better(other candidate) bool {
-	return c.score < other.score || c.score == other.score && c.server.ID < other.server.ID
+	if c.score != other.score {
+		return c.score < other.score
+	}
+	return c.recent < other.recent || c.recent == other.recent && c.server.ID < other.server.ID
 }
 
 // tier says what a request gets at a server.
@@ -177,9 +179,9 @@
 
 func (s *serverState) tier() tier {
 	switch {
-	case s.inFlight() < s.slots():
+	case s.load() < s.slots():
 		return tierFree
-	case s.own[Online]+s.peers[Online] < s.slots():
+	case s.own[Online]+s.peers[Online]+s.unknown < s.slots():
 		return tierPreempt
 	}
 	return tierQueue
@@ -201,8 +203,9 @@
 		return unreachable.choice(), true
 	}
 	delete(t.batchWaits, q.Requester)
-	best := t.selectCandidate(candidates, q.CompleteView)
+	best := t.selectCandidate(candidates, &q)
 	best.takeRate(now, q)
+	t.recordPlacement(now, best, &q)
 	if best.consecutiveUnreachable > 0 {
 		best.trialUntil = now.Add(trialTimeout)
 	}
@@ -221,7 +224,12 @@
 	candidates = t.candidates[:0]
 	t.findUrgentWaits(now, &q)
 	smallServersFull := q.Class == Batch && group.smallServersFull(now, q.Headroom)
+	memory, kept, meanRecent := t.prompts[q.Service], t.lookUpPrompt(&q), 0.0
+	if kept != nil {
+		meanRecent = group.meanRecent()
+	}
 	for _, s := range group.servers {
+		s.updateUnknown(now, &q)
 		switch {
 		case !s.eligible(&q):
 		case !t.rateAllows(now, s, q):
@@ -232,7 +240,14 @@
 		case q.Class == Batch && (!s.hasBatchSlot(q.Headroom, smallServersFull) || s.failureRate(now) > maxBatchFailureRate || t.isReserved(s)):
 		default:
 			tier := s.tier()
-			candidates = append(candidates, candidate{s, s.score(now, q, tier, median), tier})
+			score := s.score(now, q, tier, median) - s.keptBenefit(kept, &q, meanRecent)
+			if memory.overflows(now, s, &q) {
+				if q.Class == Batch {
+					continue
+				}
+				score += overflowCost
+			}
+			candidates = append(candidates, candidate{s, score, tier})
 		}
 	}
 	t.candidates = candidates
@@ -242,9 +257,9 @@
 // hasBatchSlot reports whether a batch request may take a slot of the server.
 func (s *serverState) hasBatchSlot(headroom int, smallServersFull bool) bool {
 	if s.slots() > headroom {
-		return s.inFlight()+headroom < s.slots()
+		return s.load()+headroom < s.slots()
 	}
-	return s.inFlight() < s.slots() && !smallServersFull
+	return s.load() < s.slots() && !smallServersFull
 }
 
 // smallServersFull reports whether no batch request may take a slot of the servers that have no
@@ -380,12 +395,13 @@
 
 // score returns the expected cost of a server; the server with the lowest is best.
 func (s *serverState) score(now time.Time, q Query, tier tier, median time.Duration) float64 {
-	slots, inFlight := float64(s.slots()), float64(s.inFlight())
-	online := float64(s.own[Online] + s.peers[Online])
+	slots, inFlight := float64(s.slots()), float64(s.load())
+	online := float64(s.own[Online] + s.peers[Online] + s.unknown)
 	ratio := 1.0
 	if s.stepTime > 0 && median > 0 {
 		ratio = float64(s.stepTime) / float64(median)
 	}
+	slowdown := s.slowdown(now, q.Class)
 	slowness := slowness(q.Class, ratio)
 	var score float64
 	switch tier {
@@ -396,7 +412,7 @@
 	default:
 		score = preemptionBaseCost + preemptionLoadCost + queueLoadCost*slowness*(online+1-slots)/slots
 	}
-	score += q.deadlineCost(ratio)
+	score += slowdownCost(slowdown) + q.deadlineCost(ratio*slowdown)
 	if rate := s.failureRate(now); rate > 0 {
 		perFailure := failureCost
 		if q.AtMostOnce {
@@ -411,15 +427,15 @@
 }
 
 // selectCandidate returns the best candidate if the view is complete, and otherwise the
-// best of a few that are drawn at random.
-func (t *Table) selectCandidate(list []candidate, completeView bool) *serverState {
+// best of a few that are drawn at random, or a home of the request's prompt.
+func (t *Table) selectCandidate(list []candidate, q *Query) *serverState {
 	best := list[0]
 	for _, c := range list[1:] {
 		if c.better(best) {
 			best = c
 		}
 	}
-	if completeView {
+	if q.CompleteView {
 		return best.serverState
 	}
 	// Candidates of a worse tier than the best one, or with a much higher score, are not
@@ -437,7 +453,7 @@
 			drawn = c
 		}
 	}
-	return drawn.serverState
+	return t.preferHome(list[:n], drawn, q).serverState
 }
 
 // Capacity returns the numbers of free slots, slots and servers of a service, without
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
+	"github.com/jacinthnotch/jacinthnotch/policy/pace"
+	"github.com/jacinthnotch/jacinthnotch/policy/promptcache"
 	"github.com/jacinthnotch/jacinthnotch/policy/ratelimit"
+	"github.com/jacinthnotch/jacinthnotch/policy/servermemory"
 )
 
 // Class is the scheduling class of a request.
@@ -114,6 +117,19 @@
 	// surplusSince is when the server was first seen with more requests in flight than
 	// slots, zero while it has not; preemptedAt is the time of the last preemption there.
 	surplusSince, preemptedAt time.Time
+	// kept is what the server keeps of prompts; nil if nothing. hash is the hash of its ID, and
+	// recent the sum of the weights of the requests with a prompt that were placed there.
+	kept   *promptcache.Server
+	hash   uint32
+	recent float64
+	// memory is what the requests on the server hold; nil if none is known.
+	memory *servermemory.Server
+	// pace is what the server stated of itself, and unusualReportedAt the time of the last
+	// statement that this instance reported, zero if that was the usual pace.
+	pace              pace.State
+	unusualReportedAt time.Time
+	// unknown is the number of requests that only the server knows of.
+	unknown int
 }
 
 // serviceState is the group of servers of one service.
@@ -186,9 +202,13 @@
 	batchWaits map[string]batchWait
 	// urgentWaits is the buffer of findUrgentWaits.
 	urgentWaits []batchWait
-	random      *rand.Rand
+	// unreportedPaces holds the servers with a statement for TakePaces.
+	unreportedPaces map[string]*serverState
+	random          *rand.Rand
 	// candidates is the buffer of Pick.
 	candidates []candidate
+	// prompts holds the prompt caches by service, for those whose capacity is known.
+	prompts map[string]*prompts
 }
 
 // NewTable returns an empty table.
@@ -196,6 +216,7 @@
 	return &Table{
 		servers: map[string]*serverState{}, services: map[string]*serviceState{}, active: map[string]*serverState{},
 		peers: map[string]*peerReport{}, peerStarts: map[string]*peerStarts{}, batchWaits: map[string]batchWait{}, random: random,
+		unreportedPaces: map[string]*serverState{},
 	}
 }
 
@@ -205,15 +226,19 @@
 	for id, s := range t.servers {
 		server := servers[id]
 		if server == nil || server.Started != s.server.Started || server.Address != s.server.Address {
+			t.recordStop(s)
 			delete(t.servers, id)
 			delete(t.active, id)
+			delete(t.unreportedPaces, id)
+		} else if server.Version != s.server.Version || server.Service != s.server.Service {
+			s.forgetPrompts()
 		}
 	}
 	clear(t.services)
 	for id, server := range servers {
 		s := t.servers[id]
 		if s == nil {
-			s = &serverState{}
+			s = &serverState{hash: hashOf(id)}
 			t.servers[id] = s
 		}
 		group := t.services[server.Service]
@@ -224,6 +249,7 @@
 		s.server, s.peers = server, Counts{}
 		group.servers = append(group.servers, s)
 	}
+	t.startRecent()
 	for _, r := range t.peers {
 		t.applyReport(r, 1)
 	}
@@ -432,6 +458,7 @@
 		return
 	}
 	withinSlots := s.inFlight() <= s.slots()
+	s.pace.RequestEnded()
 	s.own[class] = max(0, s.own[class]-1)
 	t.active[server] = s
 	t.version.Changes++
