--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -102,6 +102,9 @@
 	abandoningJobs int
 	runTimes       leastslack.RunTimeEstimator
 	jobs           map[string]*jobState
+	// holds holds, by service, until when items that can wait are not placed, because a hub keeps
+	// the free slots for online requests. Only schedule uses it.
+	holds map[string]time.Time
 	// running is the number of items that are running.
 	running  int
 	draining bool
@@ -136,6 +139,7 @@
 // Init initializes the runner. It must be called before Run.
 func (r *Runner) Init() {
 	r.takeovers, r.endings = takeover.NewTable(r.Self, time.Now()), abandon.NewTable()
+	r.holds = map[string]time.Time{}
 	r.jobs, r.contents = map[string]*jobState{}, newContentCache(cmp.Or(r.ContentCacheBytes, defaultContentCacheBytes))
 	r.Metrics.counts.Set("decoded_bytes", r.contents.bytes())
 	r.wakeups = make(chan struct{}, 1)
@@ -204,15 +208,16 @@
 			return
 		}
 		service := gateway.ChooseService(c.route)
-		if full[service] {
+		if full[service] || r.isHeld(now, service, c.slack) {
 			continue
 		}
 		// The lock is not held because Place may call another instance.
-		query := balance.Query{Service: service, Class: balance.Batch, Headroom: onlineHeadroom, Slack: c.slack}
+		query := balance.Query{Service: service, Class: balance.Batch, Headroom: onlineHeadroom, Slack: c.slack, RunTime: c.runTime}
 		bound := r.bindToOrigin(now, c, &query)
 		lease, rejection := r.Placer.Place(query)
 		if rejection != nil {
 			full[service] = !bound
+			r.hold(now, service, rejection)
 			continue
 		}
 		allowed--
@@ -312,6 +317,8 @@
 	route *serving.Route
 	// slack is the time for which the item can wait and still be completed by its due time.
 	slack time.Duration
+	// runTime is the expected time of its next run.
+	runTime time.Duration
 }
 
 // startable returns the items that may start now, in ascending order of slack. The caller
@@ -335,7 +342,8 @@
 			if js.job.Items[i].HasResult || run != nil && (run.active || now.Before(run.notBefore)) {
 				continue
 			}
-			list = append(list, candidate{js, i, route, r.runTimes.Slack(now, js.slackItem(i, route))})
+			item := js.slackItem(i, route)
+			list = append(list, candidate{js, i, route, r.runTimes.Slack(now, item), r.runTimes.Remaining(item)})
 		}
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -352,7 +352,7 @@
 	}
 	choice, ok := g.opt.View.PickForPeer(request.Name, request.Sequence, q)
 	if !ok {
-		return balance.Choice{}, &balance.Rejection{}
+		return balance.Choice{}, g.opt.View.Rejection(q)
 	}
 	return choice, nil
 }
--- a/node/peers/place.go
+++ b/node/peers/place.go
@@ -33,7 +33,7 @@
 		return g.placeAsHub(q)
 	case hub != nil:
 		lease, rejection := g.askHub(hub, q)
-		if lease != nil || rejection != nil && rejection.Reason != balance.NoServer {
+		if lease != nil || rejection != nil && (rejection.Reason != balance.NoServer || q.Class == balance.Batch) {
 			return lease, rejection
 		}
 	}
@@ -50,7 +50,7 @@
 func (g *Group) pick(q balance.Query) (*fleet.Lease, *balance.Rejection) {
 	lease, ok := g.opt.View.Pick(q)
 	if !ok {
-		return nil, &balance.Rejection{}
+		return nil, g.opt.View.Rejection(q)
 	}
 	return lease, nil
 }
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -187,6 +187,7 @@
 	metrics := new(expvar.Map).Init()
 	metrics.Set("gateway", i.gateway.Metrics.Map())
 	metrics.Set("pace", i.view.PaceMetrics())
+	metrics.Set("reserve", i.view.ReserveMetrics())
 	metrics.Set("containment", i.group.ContainmentMetrics())
 	metrics.Set("jobs", i.jobMetrics.Map())
 	metrics.Set("waiting_tokens", i.index.WaitingMetrics())
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -31,7 +31,7 @@
 	// its share of the rate limits of servers.
 	Instances int
 	// Left is the time until the request's deadline, and RunTime the time that a request
-	// takes on a server of median speed; zero if not known.
+	// takes on a server of median speed; zero if not known. Batch requests state RunTime alone.
 	Left, RunTime time.Duration
 	// Headroom is the number of slots that a batch request leaves free on a server. Of the
 	// servers that have no more slots than that, it leaves a share free over the whole service.
@@ -183,6 +183,10 @@
 // Pick returns the server for a request. It returns false when no server is eligible,
 // or when a batch request has to wait.
 func (t *Table) Pick(now time.Time, q Query) (Choice, bool) {
+	if t.HoldsBack(now, &q) {
+		t.demands[q.Service].held++
+		return Choice{}, false
+	}
 	candidates, unreachable := t.evaluate(now, q)
 	if len(candidates) == 0 {
 		if q.Class == Batch {
@@ -198,6 +202,7 @@
 	delete(t.batchWaits, q.Requester)
 	best := t.selectCandidate(candidates, q.CompleteView)
 	best.takeRate(now, q)
+	t.recordBatchStart(now, &q)
 	if best.consecutiveUnreachable > 0 {
 		best.trialUntil = now.Add(trialTimeout)
 	}
@@ -212,6 +217,7 @@
 	if group == nil {
 		return nil, nil
 	}
+	t.observeDemand(now, group, &q)
 	median := group.medianStepTime(now)
 	candidates = t.candidates[:0]
 	t.findUrgentWaits(now, &q)
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -195,7 +195,9 @@
 	urgentWaits []batchWait
 	// unreportedPaces holds the servers with a statement for TakePaces.
 	unreportedPaces map[string]*serverState
-	random          *rand.Rand
+	// demands holds the demand by service, on a hub.
+	demands map[string]*serviceDemand
+	random  *rand.Rand
 	// candidates is the buffer of Pick.
 	candidates []candidate
 }
@@ -205,7 +207,7 @@
 	return &Table{
 		servers: map[string]*serverState{}, services: map[string]*serviceState{}, active: map[string]*serverState{},
 		peers: map[string]*peerReport{}, peerStarts: map[string]*peerStarts{}, batchWaits: map[string]batchWait{}, random: random,
-		unreportedPaces: map[string]*serverState{},
+		unreportedPaces: map[string]*serverState{}, demands: map[string]*serviceDemand{},
 	}
 }
 
--- a/policy/leastslack/leastslack.go
+++ b/policy/leastslack/leastslack.go
@@ -57,12 +57,17 @@
 	Spent  time.Duration
 }
 
+// Remaining returns the expected time of the item's next run.
+func (e *RunTimeEstimator) Remaining(i Item) time.Duration {
+	return max(0, e.RunTime(i.Tokens)-i.Spent)
+}
+
 // Slack returns the time for which the item can wait, as of now. An item that cannot be
 // done in time, even on a fast server, gets more slack than any that can: its result is
 // of little use, and running it first would make others late as well. Among such items
 // the one that was due first has the least slack.
 func (e *RunTimeEstimator) Slack(now time.Time, i Item) time.Duration {
-	remaining := max(0, e.RunTime(i.Tokens)-i.Spent)
+	remaining := e.Remaining(i)
 	untilDue := i.Due.Sub(now)
 	if untilDue < time.Duration(fastServerRatio*float64(remaining)) {
 		return lateSlackOffset + untilDue
