--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -203,7 +203,7 @@
 	candidates, allowed := r.startable(now), min(maxStartsPerPass, maxRunningItems-r.running)
 	r.mu.Unlock()
 	full := map[string]bool{}
-	for _, c := range candidates {
+	for i, c := range candidates {
 		if allowed <= 0 {
 			return
 		}
@@ -212,7 +212,7 @@
 			continue
 		}
 		// The lock is not held because Place may call another instance.
-		query := balance.Query{Service: service, Class: balance.Batch, Headroom: onlineHeadroom, Slack: c.slack, RunTime: c.runTime}
+		query := balance.Query{Service: service, Class: balance.Batch, Headroom: onlineHeadroom, Slack: c.slack, RunTime: c.runTime, Waiting: len(candidates) - i}
 		bound := r.bindToOrigin(now, c, &query)
 		lease, rejection := r.Placer.Place(query)
 		if rejection != nil {
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -200,6 +200,8 @@
 	Prompt       []promptSegment `cbor:"3,keyasint,omitempty"`
 	PromptTokens int64           `cbor:"4,keyasint,omitempty"`
 	OutputTokens int64           `cbor:"5,keyasint,omitempty"`
+	// Waiting is the number of batch requests that wait at the requesting instance.
+	Waiting int `cbor:"6,keyasint,omitempty"`
 }
 
 // promptSegment is a segment of a prompt.
@@ -295,6 +297,7 @@
 func (r *placementRequest) query() balance.Query {
 	q := r.Request.query()
 	q.Workspace, q.Priority, q.PromptTokens, q.OutputTokens = r.Workspace, r.Priority, r.PromptTokens, r.OutputTokens
+	q.Waiting = max(0, r.Waiting)
 	for _, s := range r.Prompt {
 		q.Prompt = append(q.Prompt, balance.PromptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
@@ -303,7 +306,7 @@
 
 // newPlacementRequest returns the placement request of a query.
 func newPlacementRequest(request *serverRequest, q *balance.Query) *placementRequest {
-	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens}
+	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Waiting: q.Waiting}
 	for _, s := range q.Prompt {
 		r.Prompt = append(r.Prompt, promptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
--- a/policy/balance/bench_test.go
+++ b/policy/balance/bench_test.go
@@ -1,9 +1,12 @@
 package balance
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/policy/pace"
 )
 
 // serverCounts are the numbers of servers of a small site, a medium one, the largest one
@@ -48,3 +51,27 @@
 	tb.UpdatePeer(epoch, "peer", loads, 0)
 	return tb
 }
+
+// BenchmarkPickBatch measures a hub's decision about a batch request that is held back, and
+// BenchmarkPick is its measure for others.
+func BenchmarkPickBatch(b *testing.B) {
+	for _, servers := range serverCounts {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			tb := newLoadedTable(servers)
+			tb.RecordPace("s00", pace.Statement{Pace: pace.Usual, At: epoch})
+			now := epoch
+			for i := range 300 {
+				tb.demands["svc"] = cmp.Or(tb.demands["svc"], &serviceDemand{stated: true, checkedAt: epoch})
+				tb.demands["svc"].Observe(now, servers*(1+i/60%2*9))
+				now = now.Add(50 * time.Millisecond)
+			}
+			q := Query{Service: "svc", Class: Batch, CompleteView: true, Headroom: 1, Slack: 10 * time.Second, RunTime: 5 * time.Second}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := tb.Pick(now, q); ok {
+					b.Fatal("not held back")
+				}
+			}
+		})
+	}
+}
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -42,6 +42,8 @@
 	// slot; a request without a requester takes any free slot at once.
 	Slack     time.Duration
 	Requester string
+	// Waiting is the number of batch requests that wait at the requester, this one included.
+	Waiting int
 	// Workspace is the name of the caller's workspace, empty for none, and Priority the priority
 	// class; 0 is the most urgent.
 	Workspace string
--- a/policy/balance/reserve_test.go
+++ b/policy/balance/reserve_test.go
@@ -153,18 +153,22 @@
 			}
 			slack := func(i *batchItem) time.Duration { return i.due.Sub(now) - i.left }
 			slices.SortStableFunc(items, func(a, b *batchItem) int { return cmp.Compare(slack(a), slack(b)) })
+			waiting := 0
+			for _, i := range items {
+				if i.server == "" {
+					waiting++
+				}
+			}
 			for _, i := range items {
 				if i.server != "" || now.Before(i.notStart) {
 					continue
 				}
-				c, ok := table.Pick(now, Query{Service: "svc", Class: Batch, CompleteView: true, Headroom: 1, Slack: slack(i), RunTime: i.left})
+				c, ok := table.Pick(now, Query{Service: "svc", Class: Batch, CompleteView: true, Headroom: 1, Slack: slack(i), RunTime: i.left, Waiting: waiting})
 				if !ok {
-					if table.HoldsBack(now, &Query{Service: "svc", Class: Batch, CompleteView: true, Slack: slack(i), RunTime: i.left}) {
-						continue // a shorter one may start
-					}
 					break
 				}
 				table.RequestStarted(c.Server.ID, Batch)
+				waiting--
 				i.server, i.started = c.Server.ID, now
 				i.run++
 				heap.Push(queue, itemEvent{now.Add(i.left), i.server, i, i.run})
--- a/policy/reserve/reserve.go
+++ b/policy/reserve/reserve.go
@@ -17,17 +17,17 @@
 	// UrgentSlack is the slack below which a batch request takes any free slot: a run that is stopped
 	// then can still wait until the wave is over.
 	UrgentSlack = 6 * time.Second
-	// While a batch request has less slack than backlogSlack, and for backlogTime after, nothing is
-	// held back: there is more work than fits beside the waves, and slots left free would make some
-	// of it late.
-	backlogSlack = 3 * time.Second
-	backlogTime  = 12 * time.Second
+	// maxBacklog is the time that the waiting batch requests may take on the room beside the waves.
+	// With more, slots left free would make some of them late, and nothing is held back.
+	maxBacklog = 6 * time.Second
 	// RetryAfter is the time after which an instance asks again for a request that was held back.
 	RetryAfter = 120 * time.Millisecond
 	// SampleInterval is the interval of the samples of the online requests, and sampleCount the
 	// number that is kept: 12 s, which hold two waves of the usual length.
 	SampleInterval = 50 * time.Millisecond
 	sampleCount    = 240
+	// minSamples is the number of samples from which waves are looked for.
+	minSamples = sampleCount / 2
 	// peakPercentile is the percentile of the samples that counts as the height of a wave. Shorter
 	// rises are left to preemption.
 	peakPercentile = 90
@@ -39,7 +39,7 @@
 	// knownRises is the number of beginnings of waves that are remembered. With minRises of them,
 	// their intervals are regular if they differ by less than maxIrregularity of the mean.
 	knownRises      = 4
-	minRises        = 3
+	minRises        = 2
 	maxIrregularity = 0.2
 	// riseMargin is the time before the expected beginning of a wave by which its slots are free.
 	riseMargin = 300 * time.Millisecond
@@ -49,9 +49,8 @@
 
 // Demand follows the demand of one service. The zero value is ready to use.
 type Demand struct {
-	samples   [sampleCount]int
-	count     int // samples taken
-	sampledAt time.Time
+	samples [sampleCount]int
+	count   int // samples taken
 	// low and peak are the lowest sample and the height of the waves, as of computedAt.
 	low, peak  int
 	computedAt time.Time
@@ -61,22 +60,17 @@
 	rises []time.Time
 	// ends are the expected ends of the batch requests that were started, in any order.
 	ends []time.Time
-	// backlogUntil is the time until which nothing is held back.
-	backlogUntil time.Time
 }
 
-// Due reports whether a sample is due.
-func (d *Demand) Due(now time.Time) bool { return now.Sub(d.sampledAt) >= SampleInterval }
-
-// Observe records the online requests in flight. It must be called when a sample is due.
+// Observe records the online requests in flight. It must be called every SampleInterval.
 func (d *Demand) Observe(now time.Time, online int) {
-	d.sampledAt = now
 	d.samples[d.count%sampleCount] = online
 	d.count++
 	if now.Sub(d.computedAt) >= recomputeInterval {
 		d.recompute(now)
 	}
 	if !d.hasWaves() {
+		d.high = true // a wave that is on already has no known beginning
 		return
 	}
 	// Hysteresis keeps small changes around the middle from counting as waves.
@@ -104,7 +98,7 @@
 
 // hasWaves reports whether the demand of the remembered time has waves.
 func (d *Demand) hasWaves() bool {
-	return d.count >= sampleCount && float64(d.peak) >= minSwing*float64(max(1, d.low))
+	return d.count >= minSamples && float64(d.peak) >= minSwing*float64(max(1, d.low))
 }
 
 // Peak returns the height of the last waves, or zero if there were none.
@@ -141,24 +135,26 @@
 }
 
 // Fleet is the load of the service.
-type Fleet struct{ Slots, Online, Batch int }
+type Fleet struct {
+	Slots, Online, Batch int
+	// Waiting is the number of batch requests that wait for a slot.
+	Waiting int
+}
 
 // Allows reports whether a batch request may start now. That a slot is free is not checked.
 func (d *Demand) Allows(now time.Time, r Request, f Fleet) bool {
 	if !d.hasWaves() {
 		return true
 	}
-	if r.Slack < backlogSlack {
-		d.backlogUntil = now.Add(backlogTime)
-	}
-	if r.Slack < UrgentSlack || now.Before(d.backlogUntil) {
+	room := f.Slots - max(d.peak, f.Online)
+	if r.Slack < UrgentSlack || time.Duration(f.Waiting)*r.RunTime > time.Duration(max(0, room))*maxBacklog {
 		return true
 	}
 	until := d.UntilRise(now)
 	if r.RunTime > 0 && r.RunTime <= until {
 		return true
 	}
-	return d.remaining(now, until, f.Batch) < f.Slots-max(d.peak, f.Online)
+	return d.remaining(now, until, f.Batch) < room
 }
 
 // remaining returns how many of the batch requests in flight are expected to run on after a time.
