--- a/policy/balance/reserve.go
+++ b/policy/balance/reserve.go
@@ -95,7 +95,7 @@
 	var f reserve.Fleet
 	d.checkedAt = now
 	if f, d.stated = group.fleet(now); d.stated {
-		d.Observe(now, f.Online)
+		d.Observe(now, f)
 	}
 }
 
--- a/policy/reserve/reserve.go
+++ b/policy/reserve/reserve.go
@@ -19,15 +19,16 @@
 	UrgentSlack = 6 * time.Second
 	// maxBacklog is the time that the waiting batch requests may take on the room beside the waves.
 	// With more, slots left free would make some of them late, and nothing is held back.
-	maxBacklog = 6 * time.Second
+	maxBacklog = 4 * time.Second
+	// maxBusyShare is the share of the slots, on average over the remembered time, from which nothing
+	// is held back: slots left free then could not be made up for.
+	maxBusyShare = 0.85
 	// RetryAfter is the time after which an instance asks again for a request that was held back.
 	RetryAfter = 120 * time.Millisecond
 	// SampleInterval is the interval of the samples of the online requests, and sampleCount the
 	// number that is kept: 12 s, which hold two waves of the usual length.
 	SampleInterval = 50 * time.Millisecond
 	sampleCount    = 240
-	// minSamples is the number of samples from which waves are looked for.
-	minSamples = sampleCount / 2
 	// peakPercentile is the percentile of the samples that counts as the height of a wave. Shorter
 	// rises are left to preemption.
 	peakPercentile = 90
@@ -50,7 +51,10 @@
 // Demand follows the demand of one service. The zero value is ready to use.
 type Demand struct {
 	samples [sampleCount]int
-	count   int // samples taken
+	// busy holds the online and batch requests in flight with each sample, and meanBusy their mean.
+	busy     [sampleCount]int
+	meanBusy float64
+	count    int // samples taken
 	// low and peak are the lowest sample and the height of the waves, as of computedAt.
 	low, peak  int
 	computedAt time.Time
@@ -62,9 +66,10 @@
 	ends []time.Time
 }
 
-// Observe records the online requests in flight. It must be called every SampleInterval.
-func (d *Demand) Observe(now time.Time, online int) {
-	d.samples[d.count%sampleCount] = online
+// Observe records the load. It must be called every SampleInterval.
+func (d *Demand) Observe(now time.Time, f Fleet) {
+	online := f.Online
+	d.samples[d.count%sampleCount], d.busy[d.count%sampleCount] = online, online+f.Batch
 	d.count++
 	if now.Sub(d.computedAt) >= recomputeInterval {
 		d.recompute(now)
@@ -93,12 +98,17 @@
 	sorted := d.buffer[:n]
 	slices.Sort(sorted)
 	d.low, d.peak = sorted[0], sorted[(n-1)*peakPercentile/100]
+	sum := 0
+	for _, busy := range d.busy[:n] {
+		sum += busy
+	}
+	d.meanBusy = float64(sum) / float64(n)
 	d.ends = slices.DeleteFunc(d.ends, func(end time.Time) bool { return !end.After(now) })
 }
 
 // hasWaves reports whether the demand of the remembered time has waves.
 func (d *Demand) hasWaves() bool {
-	return d.count >= minSamples && float64(d.peak) >= minSwing*float64(max(1, d.low))
+	return d.count >= sampleCount && float64(d.peak) >= minSwing*float64(max(1, d.low))
 }
 
 // Peak returns the height of the last waves, or zero if there were none.
@@ -147,7 +157,7 @@
 		return true
 	}
 	room := f.Slots - max(d.peak, f.Online)
-	if r.Slack < UrgentSlack || time.Duration(f.Waiting)*r.RunTime > time.Duration(max(0, room))*maxBacklog {
+	if r.Slack < UrgentSlack || d.meanBusy >= maxBusyShare*float64(f.Slots) || time.Duration(f.Waiting)*r.RunTime > time.Duration(max(0, room))*maxBacklog {
 		return true
 	}
 	until := d.UntilRise(now)
