--- a/policy/reserve/reserve.go
+++ b/policy/reserve/reserve.go
@@ -22,7 +22,7 @@
 	maxBacklog = 4 * time.Second
 	// maxBusyShare is the share of the slots, on average over the remembered time, from which nothing
 	// is held back: slots left free then could not be made up for.
-	maxBusyShare = 0.85
+	maxBusyShare = 0.8
 	// RetryAfter is the time after which an instance asks again for a request that was held back.
 	RetryAfter = 120 * time.Millisecond
 	// SampleInterval is the interval of the samples of the online requests, and sampleCount the
