--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -40,6 +40,7 @@
 	kindOriginReply
 	kindPlacementRequest
 	kindPlacement
+	kindQuotaReport
 	kindPaces
 )
 
@@ -200,8 +201,12 @@
 	Prompt       []promptSegment `cbor:"3,keyasint,omitempty"`
 	PromptTokens int64           `cbor:"4,keyasint,omitempty"`
 	OutputTokens int64           `cbor:"5,keyasint,omitempty"`
+	// Charged is set if the request counts in the workspace's quota already, or not at all.
+	Charged bool `cbor:"6,keyasint,omitempty"`
+	// Bytes is the size of the body.
+	Bytes int64 `cbor:"20,keyasint,omitempty"`
 	// Waiting is the number of batch requests that wait at the requesting instance.
-	Waiting int `cbor:"6,keyasint,omitempty"`
+	Waiting int `cbor:"30,keyasint,omitempty"`
 }
 
 // promptSegment is a segment of a prompt.
@@ -218,6 +223,8 @@
 	Server       uint32 `cbor:"2,keyasint,omitempty"`
 	Reason       uint8  `cbor:"3,keyasint,omitempty"`
 	RetryAfterMs int64  `cbor:"4,keyasint,omitempty"`
+	// Recent is the number of requests of the workspace in the last window of its quota.
+	Recent int `cbor:"5,keyasint,omitempty"`
 }
 
 // grant is a hub's reply to a serverRequest; Server is zero if no server is available.
@@ -296,7 +303,8 @@
 // query returns the query of a placement request.
 func (r *placementRequest) query() balance.Query {
 	q := r.Request.query()
-	q.Workspace, q.Priority, q.PromptTokens, q.OutputTokens = r.Workspace, r.Priority, r.PromptTokens, r.OutputTokens
+	q.Workspace, q.Priority, q.Charged = r.Workspace, r.Priority, r.Charged
+	q.PromptTokens, q.OutputTokens, q.Bytes = r.PromptTokens, r.OutputTokens, r.Bytes
 	q.Waiting = max(0, r.Waiting)
 	for _, s := range r.Prompt {
 		q.Prompt = append(q.Prompt, balance.PromptSegment{Segment: s.Segment, Tokens: s.Tokens})
@@ -306,7 +314,11 @@
 
 // newPlacementRequest returns the placement request of a query.
 func newPlacementRequest(request *serverRequest, q *balance.Query) *placementRequest {
-	r := &placementRequest{Request: *request, Workspace: q.Workspace, Priority: q.Priority, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Waiting: q.Waiting}
+	r := &placementRequest{
+		Request: *request, Workspace: q.Workspace, Priority: q.Priority, Charged: q.Charged,
+		PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Bytes: q.Bytes,
+	}
+	q.Waiting = max(0, r.Waiting)
 	for _, s := range q.Prompt {
 		r.Prompt = append(r.Prompt, promptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
--- a/node/peers/report.go
+++ b/node/peers/report.go
@@ -68,6 +68,10 @@
 		g.recordPause(now)
 		g.livenessCheckedAt = now
 		g.updateLiveness(now)
+		g.updateQuotas(now)
+		if !g.hub.active {
+			g.updateReach(now)
+		}
 		g.preemptions.expire(now)
 	}
 	next = g.livenessCheckedAt.Add(livenessInterval)
@@ -90,10 +94,12 @@
 	nextPaces, pacesTo, paces := g.pacesDue(now)
 	next = earlier(next, nextPaces)
 	isHub := g.hub.active
+	quotaReports := g.quotaReportsDue(now)
 	g.mu.Unlock()
 	if paces != nil {
 		g.send(kindPaces, paces, pacesTo)
 	}
+	g.sendQuotaReports(quotaReports)
 	if report != nil {
 		g.send(kindLoadReport, report, due...)
 	}
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -7,7 +7,9 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/policy/pace"
+	"github.com/jacinthnotch/jacinthnotch/policy/promptcache"
 	"github.com/jacinthnotch/jacinthnotch/policy/ratelimit"
+	"github.com/jacinthnotch/jacinthnotch/policy/servermemory"
 )
 
 // Class is the scheduling class of a request.
@@ -121,6 +123,13 @@
 	unusualReportedAt time.Time
 	// unknown is the number of requests that only the server knows of.
 	unknown int
+	// kept is what the server keeps of prompts; nil if nothing. hash is the hash of its ID, and
+	// recent the sum of the weights of the requests with a prompt that were placed there.
+	kept   *promptcache.Server
+	hash   uint32
+	recent float64
+	// memory is what the requests on the server hold; nil if none is known.
+	memory *servermemory.Server
 }
 
 // serviceState is the group of servers of one service.
@@ -200,6 +209,8 @@
 	random  *rand.Rand
 	// candidates is the buffer of Pick.
 	candidates []candidate
+	// prompts holds the prompt caches by service, for those whose capacity is known.
+	prompts map[string]*prompts
 }
 
 // NewTable returns an empty table.
@@ -217,16 +228,19 @@
 	for id, s := range t.servers {
 		server := servers[id]
 		if server == nil || server.Started != s.server.Started || server.Address != s.server.Address {
+			t.recordStop(s)
 			delete(t.servers, id)
 			delete(t.active, id)
 			delete(t.unreportedPaces, id)
+		} else if server.Version != s.server.Version || server.Service != s.server.Service {
+			s.forgetPrompts()
 		}
 	}
 	clear(t.services)
 	for id, server := range servers {
 		s := t.servers[id]
 		if s == nil {
-			s = &serverState{}
+			s = &serverState{hash: hashOf(id)}
 			t.servers[id] = s
 		}
 		group := t.services[server.Service]
@@ -237,6 +251,7 @@
 		s.server, s.peers = server, Counts{}
 		group.servers = append(group.servers, s)
 	}
+	t.startRecent()
 	for _, r := range t.peers {
 		t.applyReport(r, 1)
 	}
