--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -209,6 +209,8 @@
 	Repeated    bool  `cbor:"8,keyasint,omitempty"`
 	// Bytes is the size of the body.
 	Bytes int64 `cbor:"9,keyasint,omitempty"`
+	// Waiting is the number of batch requests that wait at the requesting instance.
+	Waiting int `cbor:"10,keyasint,omitempty"`
 }
 
 // promptSegment is a segment of a prompt.
@@ -308,6 +310,7 @@
 	q.Workspace, q.Priority, q.Charged = r.Workspace, r.Priority, r.Charged
 	q.PromptTokens, q.OutputTokens, q.Bytes = r.PromptTokens, r.OutputTokens, r.Bytes
 	q.Objective, q.Repeated = time.Duration(r.ObjectiveMs)*time.Millisecond, r.Repeated
+	q.Waiting = max(0, r.Waiting)
 	for _, s := range r.Prompt {
 		q.Prompt = append(q.Prompt, balance.PromptSegment{Segment: s.Segment, Tokens: s.Tokens})
 	}
@@ -319,7 +322,7 @@
 	r := &placementRequest{
 		Request: *request, Workspace: q.Workspace, Priority: q.Priority, Charged: q.Charged,
 		ObjectiveMs: q.Objective.Milliseconds(), Repeated: q.Repeated,
-		PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Bytes: q.Bytes,
+		PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Bytes: q.Bytes, Waiting: q.Waiting,
 	}
 	for _, s := range q.Prompt {
 		r.Prompt = append(r.Prompt, promptSegment{Segment: s.Segment, Tokens: s.Tokens})
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -31,7 +31,7 @@
 	// its share of the rate limits of servers.
 	Instances int
 	// Left is the time until the request's deadline, and RunTime the time that a request
-	// takes on a server of median speed; zero if not known.
+	// takes on a server of median speed; zero if not known. Batch requests state RunTime alone.
 	Left, RunTime time.Duration
 	// Headroom is the number of slots that a batch request leaves free on a server. Of the
 	// servers that have no more slots than that, it leaves a share free over the whole service.
@@ -42,6 +42,8 @@
 	// slot; a request without a requester takes any free slot at once.
 	Slack     time.Duration
 	Requester string
+	// Waiting is the number of batch requests that wait at the requester, this one included.
+	Waiting int
 	// Workspace is the name of the caller's workspace, empty for none, and Priority the priority
 	// class; 0 is the most urgent.
 	Workspace string
@@ -190,6 +192,10 @@
 // Pick returns the server for a request. It returns false when no server is eligible,
 // or when a batch request has to wait.
 func (t *Table) Pick(now time.Time, q Query) (Choice, bool) {
+	if t.HoldsBack(now, &q) {
+		t.demands[q.Service].held++
+		return Choice{}, false
+	}
 	candidates, unreachable := t.evaluate(now, q)
 	if len(candidates) == 0 {
 		if q.Class == Batch {
@@ -206,6 +212,7 @@
 	best := t.selectCandidate(candidates, &q)
 	best.takeRate(now, q)
 	t.recordPlacement(now, best, &q)
+	t.recordBatchStart(now, &q)
 	if best.consecutiveUnreachable > 0 {
 		best.trialUntil = now.Add(trialTimeout)
 	}
@@ -220,6 +227,7 @@
 	if group == nil {
 		return nil, nil
 	}
+	t.observeDemand(now, group, &q)
 	median := group.medianStepTime(now)
 	candidates = t.candidates[:0]
 	t.findUrgentWaits(now, &q)
