fairshare: counts stay numbers at a hub that judges repeated requests first

Cause: the division of a priority that nothing was asked for yet divided zero by zero; the result went into the counts, after which every request was rejected while the queue was long. Found in review; TestRepeatedRequestAtANewHub failed before.

--- a/policy/fairshare/fairshare.go
+++ b/policy/fairshare/fairshare.go
@@ -332,7 +332,10 @@
 
 // divide divides the capacity among the priorities and their flows.
 func (s *service) divide(byPriority map[int]float64, asked, capacity, meanWeight float64) {
-	ratio := min(1, capacity/asked)
+	ratio := 1.0
+	if asked > capacity {
+		ratio = capacity / asked
+	}
 	spare := capacity - priorityMinimum*ratio*asked
 	for _, priority := range sortedKeys(byPriority) {
 		demand := byPriority[priority]
@@ -345,8 +348,7 @@
 
 // dividePriority divides the capacity of a priority among its flows.
 func (s *service) dividePriority(priority int, demand, capacity, meanWeight float64) {
-	ratio := min(1, capacity/demand)
-	if ratio > 1-tolerance {
+	if capacity >= (1-tolerance)*demand {
 		for _, f := range s.order {
 			if f.priority == priority {
 				f.limit, f.unmet = f.asked, 0
@@ -354,7 +356,7 @@
 		}
 		return
 	}
-	spare := capacity
+	ratio, spare := capacity/demand, capacity
 	for _, f := range s.order {
 		if f.priority == priority {
 			f.limit = workspaceMinimum * ratio * f.asked
--- a/policy/fairshare/fairshare_test.go
+++ b/policy/fairshare/fairshare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -98,6 +99,22 @@
 	}
 }
 
+// Guards against counts that are no numbers any more, after which every request is rejected: a
+// hub that has just taken over judges requests again that another one has counted.
+func TestRepeatedRequestAtANewHub(t *testing.T) {
+	c := &Controller{}
+	now := time.Unix(1000, 0)
+	full := Room{Waiting: 80, Slots: 100, RunTime: runTime}
+	for i := range 400 {
+		now = now.Add(5 * time.Millisecond)
+		c.Admit(now, Request{Service: "s", Workspace: "a", Work: 100, Objective: objective, Repeated: i < 200}, full)
+	}
+	f := c.services["s"].flows[flowKey{"a", 0}]
+	if math.IsNaN(f.granted) || math.IsNaN(f.limit) || f.granted <= 0 {
+		t.Fatalf("granted %v of %v", f.granted, f.limit)
+	}
+}
+
 // Guards against state that grows with the names that callers bring, and that is kept for ever.
 func TestStateIsBounded(t *testing.T) {
 	var c Controller
