--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -295,19 +296,32 @@
 }
 
 // SharedParts returns the parts of a request's prompt that other requests may share: all but
-// the last one.
+// the last one, maxSharedParts at most.
 func SharedParts(request *serving.Request) []poison.Subject {
 	var parts []poison.Subject
-	for i := range len(request.Prompt) - 1 {
+	for i := range min(len(request.Prompt)-1, maxSharedParts) {
 		parts = append(parts, poison.Subject(xxhash.Sum64String("part\x00"+request.Prompt[i].ID)))
 	}
 	return parts
 }
 
-// PromptSegments returns the segments of a request's prompt as the placement knows them.
+// maxPromptSegments limits the segments of a prompt that are known to the placement, and
+// maxSharedParts those that may be blamed for crashes. Callers may state thousands, which would
+// not fit into a datagram to a hub.
+const (
+	maxPromptSegments = 16
+	maxSharedParts    = 64
+)
+
+// PromptSegments returns the segments of a request's prompt as the placement knows them. Of a long
+// list it returns the first ones and the last one, which is the request's own.
 func PromptSegments(request *serving.Request) []balance.PromptSegment {
-	segments := make([]balance.PromptSegment, len(request.Prompt))
-	for i, s := range request.Prompt {
+	prompt := request.Prompt
+	if n := len(prompt); n > maxPromptSegments {
+		prompt = append(slices.Clone(prompt[:maxPromptSegments-1]), prompt[n-1])
+	}
+	segments := make([]balance.PromptSegment, len(prompt))
+	for i, s := range prompt {
 		segments[i] = balance.PromptSegment{Segment: uint32(xxhash.Sum64String(request.Model + "\x00" + s.ID)), Tokens: s.Tokens}
 	}
 	return segments
--- a/node/gateway/workspace_test.go
+++ b/node/gateway/workspace_test.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// Guards against a list of prompt segments that does not fit into a datagram to a hub, and against
+// one that loses the segment by which sessions are told apart.
+func TestLongPromptsAreCut(t *testing.T) {
+	var request serving.Request
+	for i := range 5000 {
+		request.Prompt = append(request.Prompt, serving.PromptSegment{ID: fmt.Sprint(i), Tokens: int64(i)})
+	}
+	segments := PromptSegments(&request)
+	if n := len(segments); n > maxPromptSegments || segments[0].Tokens != 0 || segments[n-1].Tokens != 4999 {
+		t.Errorf("%d segments: %v", len(segments), segments)
+	}
+	if parts := SharedParts(&request); len(parts) > maxSharedParts {
+		t.Errorf("%d shared parts", len(parts))
+	}
+}
+
 // Guards against a public route that asks for keys, and against a caller that names a workspace
 // there.
 func TestPublicRouteTakesAnyKey(t *testing.T) {
