workspacequota: a hub grants the share of the instances that report to it

Cause: an instance that took itself for the hub while most others reported elsewhere granted the whole quota and told its own count as that of all, so that the shares by which instances decide alone added up to more than one. A standby that had just become a hub granted beside the first one. Change: coverage by reports, and no grants of a standby in its first 0.5 s.

--- a/policy/workspacequota/table.go
+++ b/policy/workspacequota/table.go
@@ -39,6 +39,13 @@
 	// ownStart is the time of an instance's start in its table, so that there is room for what
 	// others sent before.
 	ownStart = 2 * Window
+	// reportTTL is the time after which an instance that has not reported counts as one that does
+	// not: some intervals of reports.
+	reportTTL = 2500 * time.Millisecond
+	// firstReportTime is the time from the first quota by which all instances report.
+	firstReportTime = time.Second
+	// heardTime is the time in which a hub hears all other instances.
+	heardTime = 500 * time.Millisecond
 	// refreshInterval is the interval at which the ages of the instances are looked at.
 	refreshInterval = 100 * time.Millisecond
 )
@@ -92,6 +99,12 @@
 	// time at which it heard no more than that share.
 	scale   float64
 	scaleAt time.Duration
+	// heard is the number of instances that this one hears, itself included, and coverage the share
+	// of them that report to it, as of refreshedAt.
+	heard    int
+	coverage float64
+	// countingSince is the time of the first quota: before it no instance reports.
+	countingSince time.Duration
 	// contactAt is the time of the last reply of a hub; hadContact is set if there was one.
 	contactAt  time.Duration
 	hadContact bool
@@ -115,6 +128,8 @@
 	incarnation uint32
 	// startedAt may be negative: before the start of the table.
 	startedAt, reportedAt time.Duration
+	// firstReportAt is the time of the first report.
+	firstReportAt time.Duration
 	// hasFull is set once a full report has been applied.
 	hasFull bool
 	totals  map[uint32]int64
@@ -131,7 +146,7 @@
 // NewTable returns the table of an instance that starts now. seed differs between instances.
 func NewTable(now time.Time, seed uint64) *Table {
 	return &Table{
-		start: now.Add(-ownStart), seed: seed, scale: 1, spaces: map[uint32]*space{}, own: map[uint32]*usage{}, instances: map[string]*instance{},
+		start: now.Add(-ownStart), seed: seed, scale: 1, coverage: 1, spaces: map[uint32]*space{}, own: map[uint32]*usage{}, instances: map[string]*instance{},
 	}
 }
 
@@ -170,6 +185,7 @@
 // instances that it hears again have sent.
 func (t *Table) SetReach(now time.Time, heard, lost int) {
 	at, scale := t.since(now), 1.0
+	t.heard = heard
 	if all := float64(heard + lost); float64(lost) > freeLostShare*all {
 		scale = float64(heard) / all
 	}
@@ -200,17 +216,25 @@
 	s.setQuota(at, q)
 	t.refresh(at)
 	b := basis{scale: t.scale, knownSince: t.freshSince}
+	isCovered := t.coverage >= 1-freeLostShare
+	if !isCovered {
+		b.scale *= t.coverage
+	}
 	if role.Standby {
 		b.scale *= standbyShare
 	}
 	if !role.HeardSince.IsZero() {
+		if role.Standby {
+			// The first hub, which knows more, may be granting the whole quota.
+			return Verdict{RetryAfter: max(binLength, heardTime-now.Sub(role.HeardSince))}
+		}
 		b.knownSince = max(b.knownSince, t.since(role.HeardSince))
 	}
 	if wait := s.wait(at, b); wait > 0 {
 		return Verdict{RetryAfter: s.retryAfter(at, wait)}
 	}
 	verdict := Verdict{Allowed: true}
-	if at-b.knownSince >= Window {
+	if isCovered && at-b.knownSince >= Window {
 		verdict.Recent = int(s.history.total(at)) + 1
 	}
 	return verdict
@@ -218,17 +242,20 @@
 
 // SetQuota records the quota in force, in case that this instance becomes a hub.
 func (t *Table) SetQuota(now time.Time, w uint32, q workspace.Quota) {
+	if t.countingSince == 0 {
+		t.countingSince = t.since(now)
+	}
 	t.space(w).setQuota(t.since(now), q)
 }
 
-// refresh updates freshSince: the start of the oldest of the instances that started within a
-// Window, if they are many.
+// refresh updates coverage and freshSince: the start of the oldest of the instances that started
+// within a Window, if they are many. Instances may be heard that report to other hubs.
 func (t *Table) refresh(at time.Duration) {
 	if at-t.refreshedAt < refreshInterval && t.refreshedAt > 0 {
 		return
 	}
 	t.refreshedAt = at
-	all, fresh, oldest := 1, 0, at
+	all, fresh, reporting, oldest := 1, 0, 1, at
 	count := func(startedAt time.Duration) {
 		if at-startedAt < Window {
 			fresh++
@@ -241,11 +268,18 @@
 			delete(t.instances, name)
 			continue
 		}
+		if at-i.reportedAt < reportTTL && i.firstReportAt > 0 && (i.hasFull || at-i.firstReportAt >= Window) {
+			reporting++
+		}
 		if at-i.reportedAt < Window && i.reportedAt > 0 {
 			all++
 			count(i.startedAt)
 		}
 	}
+	t.coverage = 1
+	if at-t.countingSince >= firstReportTime {
+		t.coverage = min(1, float64(reporting)/float64(max(1, t.heard)))
+	}
 	t.freshSince = -Window
 	if float64(fresh) > freeFreshShare*float64(all) {
 		t.freshSince = oldest
@@ -285,6 +319,9 @@
 		*i = instance{incarnation: r.Incarnation, totals: map[uint32]int64{}, grants: slices.DeleteFunc(i.grants, earlier)}
 	}
 	i.reportedAt = max(1, at)
+	if i.firstReportAt == 0 {
+		i.firstReportAt = i.reportedAt
+	}
 	i.startedAt = at - max(0, r.Uptime)
 	var included []uint32
 	kept := i.grants[:0]
