jobs: accept submissions as soon as the store is back

Change: while a path works, a read of the index decides. TestJobIsAcceptedOnceTheStoreIsBack failed before.

--- a/node/jobs/away_test.go
+++ b/node/jobs/away_test.go
@@ -1,6 +1,7 @@
 package jobs_test
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
@@ -31,3 +32,20 @@
 		s.Close()
 	}
 }
+
+// Guards against jobs that are refused for a while after the store is back.
+func TestJobIsAcceptedOnceTheStoreIsBack(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a", 1)
+	submitJob(t, a, "before", "x")
+	for _, job := range []string{"j", "k", "l"} {
+		c.store.SetFault(store.Unavailable, false)
+		if code, _ := a.call(jobs.Submit, job, submission("x"+job)); code != http.StatusServiceUnavailable {
+			t.Fatalf("without a store: %d", code)
+		}
+		c.store.SetFault(store.NoFault, false)
+		if code, raw := a.call(jobs.Submit, job, submission("x"+job)); code != http.StatusAccepted {
+			t.Fatalf("the store is back: %d %s", code, raw)
+		}
+	}
+}
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -223,8 +223,8 @@
 		s.refuse(w, call, http.StatusServiceUnavailable, causeClosed, nil)
 		return
 	}
-	if reachability := s.StorePath.Reachability(); reachability == pathselect.Unreachable || reachability == pathselect.Isolated || s.Index.storeHealth.unavailable(start) {
-		s.refuse(w, call, http.StatusServiceUnavailable, "the store is away, outlook "+reachability.String(), nil)
+	if s.isStoreAway(r.Context(), start) {
+		s.refuse(w, call, http.StatusServiceUnavailable, "the store is away, outlook "+s.StorePath.Reachability().String(), nil)
 		return
 	}
 	klog.InfoS("job submission received", "job", call.Job, "items", len(items))
@@ -252,6 +252,20 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// isStoreAway reports whether the store is known to take no submission. While a path to it works, a
+// read tells whether it is back from an earlier failure.
+func (s *Service) isStoreAway(ctx context.Context, now time.Time) bool {
+	if r := s.StorePath.Reachability(); r == pathselect.Unreachable || r == pathselect.Isolated {
+		return true
+	}
+	if !s.Index.storeHealth.unavailable(now) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.StorePath.CallTimeout())
+	defer cancel()
+	return s.Index.CatchUp(ctx) != nil
+}
+
 // appendAcceptance appends the acceptance record of a job. It returns nil if the job is
 // accepted.
 func (s *Service) appendAcceptance(ctx context.Context, job limitedJob, record *joblog.Accepted) *refusal {
