--- a/review/second/rig.go
+++ b/review/second/rig.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -94,24 +95,36 @@
 
 // instance is a process of the project.
 type instance struct {
-	name, settings, front, ready string
-	cmd                          *exec.Cmd
-	exited                       chan struct{}
-	log                          *os.File
+	name, zone, settings, front, ready string
+	cmd                                *exec.Cmd
+	exited                             chan struct{}
+	log                                *os.File
 }
 
+// Ports of instances are below those that the system gives to outgoing connections.
+const (
+	firstPort = 10000
+	ports     = 20000
+)
+
+var usedPorts = map[int]bool{}
+
 // freePort returns a port that is free for TCP and UDP on an address.
 func freePort(ip string) int {
-	for range 50 {
-		l, err := net.Listen("tcp4", ip+":0")
+	for range 500 {
+		port := firstPort + rand.IntN(ports)
+		if usedPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
 		if err != nil {
 			continue
 		}
-		port := l.Addr().(*net.TCPAddr).Port
 		u, err := net.ListenPacket("udp4", fmt.Sprintf("%s:%d", ip, port))
 		l.Close()
 		if err == nil {
 			u.Close()
+			usedPorts[port] = true
 			return port
 		}
 	}
@@ -146,8 +159,15 @@
 
 // addInstance prepares an instance with settings as deploy/settings.toml.tmpl renders them.
 func (d *deployment) addInstance(zone string) *instance {
+	i := &instance{name: fmt.Sprintf("front-%s-%d", zone, len(d.instances)+1), zone: zone}
+	d.writeSettings(i)
+	d.instances = append(d.instances, i)
+	return i
+}
+
+// writeSettings writes the settings of an instance, with ports that are free.
+func (d *deployment) writeSettings(i *instance) {
 	ip := "127.0.0.1"
-	i := &instance{name: fmt.Sprintf("front-%s-%d", zone, len(d.instances)+1)}
 	i.front, i.ready = fmt.Sprintf("%s:%d", ip, freePort(ip)), fmt.Sprintf("%s:%d", ip, freePort(ip))
 	i.settings = filepath.Join(d.dir, i.name+".conf")
 	text := fmt.Sprintf(`instance = %q
@@ -173,12 +193,10 @@
 
 [drain]
 grace_s = 8
-`, i.name, zone, i.front, i.ready, ip, freePort(ip), d.memoryMB, d.store.address, d.retention)
+`, i.name, i.zone, i.front, i.ready, ip, freePort(ip), d.memoryMB, d.store.address, d.retention)
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		cannotRun("%v", err)
 	}
-	d.instances = append(d.instances, i)
-	return i
 }
 
 // start starts the process with the command of deploy/system.toml.
@@ -204,6 +222,14 @@
 // awaitReady waits until an instance says that it is ready.
 func (d *deployment) awaitReady(i *instance, timeout time.Duration) {
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		select {
+		case <-i.exited:
+			// Another program has taken one of its ports.
+			d.rec.line("instance %s ended, it gets other ports", i.name)
+			d.writeSettings(i)
+			d.start(i)
+		default:
+		}
 		if response, err := http.Get("http://" + i.ready + "/readiness"); err == nil {
 			response.Body.Close()
 			if response.StatusCode == http.StatusOK {
