relay: reads whose responses a silent store has lost are made again when it returns

Cause: a read that is sent to a silent store is never answered, and an instance without a path waited for it until the client of the store gave it up 3 s later, though a probe had found the path up 0.2 s after the return. The same held for relayed reads and for reads that were overdue on a path that never counted as down.

Change: reads in flight are registered (pathselect.Reads). The first response after an outage ends those that were sent before that call, and they are made again without a wait; a response also ends the reads that were overdue when its call was sent.

--- /dev/null
+++ b/node/relay/outage_test.go
@@ -0,0 +1,159 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/node/relay"
+)
+
+const (
+	// Bounds of the users' platform: a store that was silent counts as stable after stableAfter,
+	// and a change must be in force within applyWithin, both after the store's return or
+	// acknowledgement, not after an instance's first read.
+	stableAfter = 3 * time.Second
+	applyWithin = 2 * time.Second
+	// clientTimeout is the time after which the client of the store gives a call up, without
+	// the time for which the store may delay its response.
+	clientTimeout = 1500 * time.Millisecond
+	callLatency   = 4 * time.Millisecond
+)
+
+// silentStore is a store that is silent for a time. A call that it gets meanwhile, or whose
+// response is due meanwhile, gets no response.
+type silentStore struct {
+	port.Store
+	from, until time.Time
+
+	mu      sync.Mutex
+	changed chan struct{}
+	values  []int
+}
+
+func (s *silentStore) silent(now time.Time) bool { return !now.Before(s.from) && now.Before(s.until) }
+
+func (s *silentStore) write(value int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values = append(s.values, value)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// respond waits until the response to a call is due, after ready is closed or wait is over.
+func (s *silentStore) respond(ctx context.Context, ready <-chan struct{}, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout+wait)
+	defer cancel()
+	lost := s.silent(time.Now())
+	select {
+	case <-ready:
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	time.Sleep(callLatency)
+	if lost || s.silent(time.Now()) {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: %w", port.ErrOutcomeUnknown, ctx.Err())
+	}
+	return nil
+}
+
+func (s *silentStore) Newest(ctx context.Context, _, _ string) (port.NewestPage, error) {
+	return port.NewestPage{}, s.respond(ctx, nil, 0)
+}
+
+func (s *silentStore) Read(ctx context.Context, _ port.Partition, from int64, _ int, wait time.Duration) (port.Page, error) {
+	s.mu.Lock()
+	changed := s.changed
+	if int64(len(s.values)) > from {
+		wait = 0
+	}
+	s.mu.Unlock()
+	if err := s.respond(ctx, changed, wait); err != nil {
+		return port.Page{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return port.Page{End: int64(len(s.values))}, nil
+}
+
+// valueFeed is the feed of the values of a store.
+type valueFeed struct {
+	port.Feed[int]
+	store *relay.Store
+}
+
+func (f valueFeed) Newest(context.Context) ([]port.Entry[int], int64, error) { return nil, 0, nil }
+
+func (f valueFeed) Changes(ctx context.Context, from int64, wait time.Duration) ([]port.Entry[int], int64, error) {
+	page, err := f.store.Read(ctx, partition, from, 1000, wait)
+	return make([]port.Entry[int], max(0, page.End-from)), max(from, page.End), err
+}
+
+// Guards against a read that was sent to a silent store, or whose response was lost there, and that
+// delays the next one past the store's return: changes were in force, and servers known as gone, too late.
+func TestChangesAfterASilentStoreAreReadInTime(t *testing.T) {
+	for outage := 200 * time.Millisecond; outage <= 8*time.Second; outage += 300 * time.Millisecond {
+		for begin := time.Duration(0); begin < 2400*time.Millisecond; begin += 160 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				now := time.Now()
+				store := &silentStore{changed: make(chan struct{}), from: now.Add(time.Second + begin)}
+				store.until = store.from.Add(outage)
+				if late := readsTooLate(t, store); late > 0 {
+					t.Errorf("outage of %v after %v: the last change is read %v too late", outage, begin, late)
+				}
+			})
+		}
+	}
+}
+
+// readsTooLate runs an instance beside a store that is silent for a time, and returns by how much the
+// worst change is applied too late.
+func readsTooLate(t *testing.T, store *silentStore) time.Duration {
+	ctx, cancel := context.WithCancel(t.Context())
+	instance := relay.NewStore(store, &peers{}, nil, probeTopic)
+	var mu sync.Mutex
+	var written []time.Time
+	worst, applied := time.Duration(0), 0
+	follower := &fleet.Follower[int]{Name: "test", Feed: valueFeed{store: instance}, Apply: func(entries []port.Entry[int], _ bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		for range entries {
+			// A change counts from the time at which the store counts as stable.
+			due := written[applied].Add(applyWithin)
+			if stable := store.until.Add(stableAfter); due.Before(stable) {
+				due = stable
+			}
+			worst = max(worst, time.Since(due))
+			applied++
+		}
+	}}
+	var running sync.WaitGroup
+	running.Go(func() { follower.Run(ctx) })
+	running.Go(func() { instance.RunProbes(ctx) })
+	time.Sleep(time.Until(store.from.Add(-100 * time.Millisecond)))
+	for time.Now().Before(store.until.Add(2 * time.Second)) {
+		if !store.silent(time.Now()) {
+			mu.Lock()
+			written = append(written, time.Now())
+			mu.Unlock()
+			store.write(1)
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	time.Sleep(10 * time.Second)
+	cancel()
+	running.Wait()
+	if applied != len(written) {
+		t.Fatalf("%d of %d changes were applied", applied, len(written))
+	}
+	return worst
+}
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -49,6 +49,8 @@
 
 	mu    sync.Mutex
 	paths *pathselect.Paths
+	// reads are the reads in flight, on the own path and through peers.
+	reads pathselect.Reads
 	// rejectedSince is the time of the first call on the own path that was rejected by the rate
 	// limit since one succeeded; zero if none was.
 	rejectedSince time.Time
@@ -130,6 +132,13 @@
 
 // Read implements port.Store.
 func (s *Store) Read(ctx context.Context, p port.Partition, from int64, maxBytes int, wait time.Duration) (port.Page, error) {
+	return readUntilAnswered(ctx, s, wait, func(ctx context.Context, wait time.Duration) (port.Page, error) {
+		return s.read(ctx, p, from, maxBytes, wait)
+	})
+}
+
+// read makes one attempt of Read.
+func (s *Store) read(ctx context.Context, p port.Partition, from int64, maxBytes int, wait time.Duration) (port.Page, error) {
 	return callWithFallback(ctx, s, wait,
 		func(ctx context.Context) (port.Page, error) { return s.ownPath.Read(ctx, p, from, maxBytes, wait) },
 		func(ctx context.Context, c peerpb.DRPCStoreClient) (port.Page, error) {
@@ -145,6 +154,13 @@
 
 // Newest implements port.Store.
 func (s *Store) Newest(ctx context.Context, topic, after string) (port.NewestPage, error) {
+	return readUntilAnswered(ctx, s, 0, func(ctx context.Context, _ time.Duration) (port.NewestPage, error) {
+		return s.newest(ctx, topic, after)
+	})
+}
+
+// newest makes one attempt of Newest.
+func (s *Store) newest(ctx context.Context, topic, after string) (port.NewestPage, error) {
 	return callWithFallback(ctx, s, 0,
 		func(ctx context.Context) (port.NewestPage, error) { return s.ownPath.Newest(ctx, topic, after) },
 		func(ctx context.Context, c peerpb.DRPCStoreClient) (port.NewestPage, error) {
@@ -156,6 +172,43 @@
 		})
 }
 
+// errResponseLost is the cause of the end of a read whose response cannot arrive any more.
+var errResponseLost = errors.New("relay: the response to a read is lost")
+
+// readUntilAnswered makes a read, and makes it again if its response is lost since the store was
+// silent. The store may delay the first response by up to wait; the others are asked for at once,
+// as there may be changes since the outage.
+func readUntilAnswered[T any](ctx context.Context, s *Store, wait time.Duration, read func(context.Context, time.Duration) (T, error)) (T, error) {
+	for {
+		attemptCtx, end := s.beginRead(ctx, wait)
+		value, err := read(attemptCtx, wait)
+		lost := err != nil && ctx.Err() == nil && errors.Is(context.Cause(attemptCtx), errResponseLost)
+		end()
+		if !lost {
+			return value, err
+		}
+		wait = 0
+	}
+}
+
+// beginRead registers a read that is sent now. Its context ends with the cause errResponseLost
+// if the response is found to be lost, and by end.
+func (s *Store) beginRead(ctx context.Context, wait time.Duration) (attemptCtx context.Context, end func()) {
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	now := time.Now()
+	r := &pathselect.Read{SentAt: now, Abandon: func() { cancel(errResponseLost) }}
+	s.mu.Lock()
+	r.DueAt = now.Add(wait + s.paths.AttemptTimeout())
+	s.reads.Begin(r)
+	s.mu.Unlock()
+	return attemptCtx, func() {
+		s.mu.Lock()
+		s.reads.End(r)
+		s.mu.Unlock()
+		cancel(nil)
+	}
+}
+
 // result is the outcome of a call on the own path.
 type result[T any] struct {
 	value T
@@ -241,7 +294,7 @@
 		if wait > 0 {
 			latency = 0 // the duration includes the time for which the store waited for records
 		}
-		s.recordSuccess(latency)
+		s.recordSuccess(start, latency)
 	case s.recordRejection(err):
 		s.counts.Add("rate_limited", 1)
 	case ctx.Err() == nil:
@@ -274,13 +327,20 @@
 	return port.IsRateLimited(err) && time.Since(s.rejectedSince) < turnedAwayAfter
 }
 
-func (s *Store) recordSuccess(latency time.Duration) {
+// recordSuccess records the response to a call that was sent on the own path at a time, and ends
+// the reads whose responses are lost.
+func (s *Store) recordSuccess(sentAt time.Time, latency time.Duration) {
 	s.mu.Lock()
 	s.rejectedSince = time.Time{}
 	regained := s.paths.RecordSuccess(latency)
+	lost := s.reads.TakeLost(sentAt, regained)
 	s.mu.Unlock()
 	if regained {
-		klog.InfoS("dependency regained", "dependency", "store", "path", "own")
+		klog.InfoS("dependency regained", "dependency", "store", "path", "own", "lostReads", len(lost))
+	}
+	s.counts.Add("reads_lost", int64(len(lost)))
+	for _, r := range lost {
+		r.Abandon()
 	}
 }
 
@@ -386,7 +446,7 @@
 	_, err := s.ownPath.Newest(probeCtx, s.probeTopic, afterAllKeys)
 	switch {
 	case err == nil:
-		s.recordSuccess(time.Since(start))
+		s.recordSuccess(start, time.Since(start))
 	case ctx.Err() == nil:
 		s.recordFailure(err)
 	}
