serving: servers that leave after an outage are not kept like ones whose entries expired

Cause: a server whose entry is gone was kept for 2.5 s from an instance's own first read that succeeded, which may be 3 s after the store's return, and whatever the outage: one too short for entries to expire, one of this instance's path alone, or one after which the server had written its entry again.

Change: the end of an outage of the own path counts as one also if the read is made again and does not fail; the first read after a failed one does not wait for changes. No grace period follows an outage of less than two heartbeats. A server that has written an entry since is dropped at once. New setting servers.heartbeat_ms, metric store_outages.

--- a/domain/serving/registry.go
+++ b/domain/serving/registry.go
@@ -5,10 +5,17 @@
 	"time"
 )
 
-// ReregistrationGrace is how long after a store outage the registry waits for live
-// servers whose entries expired during the outage to register again. According to the
-// platform's documentation they do so within about two seconds.
-const ReregistrationGrace = 2500 * time.Millisecond
+const (
+	// ReregistrationGrace is how long after a store outage the registry waits for live
+	// servers whose entries expired during the outage to register again. According to the
+	// platform's documentation they do so within about two seconds.
+	ReregistrationGrace = 2500 * time.Millisecond
+	// DefaultHeartbeat is the interval of the heartbeats of servers.
+	DefaultHeartbeat = 1200 * time.Millisecond
+	// minOutageHeartbeats is the number of heartbeats that an outage lasts in which entries expire:
+	// they do so after three without a heartbeat, the first of which may begin before the outage.
+	minOutageHeartbeats = 2
+)
 
 // Server is a registered backend server.
 type Server struct {
@@ -35,11 +42,15 @@
 // Usable reports whether the server accepts new requests.
 func (s *Server) Usable() bool { return !s.Leaving }
 
-// Registry tracks the registered servers. An entry that is removed during a store
-// outage, or within ReregistrationGrace after it, is kept until the end of that grace
-// period, because the entries of live servers may have expired during the outage.
+// Registry tracks the registered servers. Entries of live servers may expire during a store
+// outage. A server whose entry is removed then, or within ReregistrationGrace after it, is
+// therefore kept until the end of that grace period, unless it has written an entry since the
+// outage: the removal of such an entry shows that the server has left.
 // A Registry is not safe for concurrent use.
 type Registry struct {
+	// Heartbeat is the interval of the heartbeats of servers.
+	Heartbeat time.Duration
+
 	servers map[string]*Server
 	order   entryOrder
 	// Outdated counts the entries that were ignored because a later one was known.
@@ -51,6 +62,12 @@
 	// grace period after the last outage.
 	storeDown  bool
 	graceUntil time.Time
+	// readAt is the time of the last successful read. recovering is set if it was the first one
+	// after an outage: its entries may have been written before the outage.
+	readAt     time.Time
+	recovering bool
+	// unconfirmed holds the IDs of the servers that have written no entry since the last outage.
+	unconfirmed map[string]bool
 	// departures holds the latest statement of each server that it is leaving, by ID. It
 	// outlives the entry of the server, which may return.
 	departures map[string]Departure
@@ -80,6 +97,7 @@
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{
+		Heartbeat: DefaultHeartbeat, unconfirmed: map[string]bool{},
 		servers: map[string]*Server{}, order: entryOrder{latest: map[string]*entryPosition{}},
 		missing: map[string]time.Time{}, departures: map[string]Departure{},
 	}
@@ -88,16 +106,34 @@
 // StoreUnavailable records that the store cannot be read.
 func (r *Registry) StoreUnavailable() { r.storeDown = true }
 
-// StoreRecovered records that the store can be read again and starts the grace period.
-func (r *Registry) StoreRecovered(now time.Time) {
-	if !r.storeDown {
-		return
+// RecordRead records a successful read of what was written since the last one, before it is
+// applied. It begins a grace period, and returns true, if entries of live servers may have
+// expired since then because of an outage of the store.
+func (r *Registry) RecordRead(now time.Time) (recovered bool) {
+	longEnough := r.readAt.IsZero() || now.Sub(r.readAt) >= minOutageHeartbeats*r.Heartbeat
+	recovered = r.storeDown && longEnough
+	r.storeDown, r.readAt, r.recovering = false, now, recovered
+	if !recovered {
+		return false
 	}
-	r.storeDown = false
 	r.graceUntil = now.Add(ReregistrationGrace)
 	for id := range r.missing {
 		r.missing[id] = r.graceUntil
 	}
+	for id := range r.servers {
+		r.unconfirmed[id] = true
+	}
+	return true
+}
+
+// StoreWasUp records that the last outage was not one of the store, so that no entry of a live server has
+// expired. It ends the grace period, and returns the IDs of the servers that are dropped.
+func (r *Registry) StoreWasUp(now time.Time) []string {
+	r.graceUntil = now
+	for id := range r.missing {
+		r.missing[id] = now
+	}
+	return r.Expire(now)
 }
 
 // Put adds or replaces an entry, unless a later one of the server is known. It returns false
@@ -109,6 +145,9 @@
 	}
 	old := r.servers[s.ID]
 	delete(r.missing, s.ID)
+	if !r.recovering {
+		delete(r.unconfirmed, s.ID)
+	}
 	if d, ok := r.departures[s.ID]; ok && !d.refersTo(s.Started) {
 		delete(r.departures, s.ID)
 	}
@@ -130,7 +169,7 @@
 	if s == nil {
 		return false
 	}
-	if !r.leaving(s) && (r.storeDown || now.Before(r.graceUntil)) {
+	if !r.leaving(s) && (r.storeDown || r.unconfirmed[id] && now.Before(r.graceUntil)) {
 		if _, ok := r.missing[id]; !ok {
 			r.missing[id] = r.graceUntil
 		}
@@ -138,6 +177,7 @@
 	}
 	delete(r.servers, id)
 	delete(r.missing, id)
+	delete(r.unconfirmed, id)
 	return true
 }
 
@@ -164,6 +204,7 @@
 		if !now.Before(dropAt) {
 			delete(r.missing, id)
 			delete(r.servers, id)
+			delete(r.unconfirmed, id)
 			dropped = append(dropped, id)
 		}
 	}
--- a/domain/serving/registry_test.go
+++ b/domain/serving/registry_test.go
@@ -30,7 +30,9 @@
 		t.Fatalf("dropped %v while the store is unavailable", dropped)
 	}
 	recovered := epoch.Add(time.Hour)
-	r.StoreRecovered(recovered)
+	if !r.RecordRead(recovered) {
+		t.Fatal("the end of an outage is not noticed")
+	}
 	r.Put(&Server{ID: "b"}) // registers again
 	if dropped := r.Expire(recovered.Add(ReregistrationGrace - 1)); len(dropped) != 0 {
 		t.Fatalf("dropped %v before the end of the grace period", dropped)
--- a/node/fleet/follow.go
+++ b/node/fleet/follow.go
@@ -41,7 +41,8 @@
 	// Apply is called with the entries in the order of the feed. If full is set, they
 	// are the complete list of the feed's newest entries.
 	Apply func(entries []port.Entry[T], full bool)
-	// OnRead, if not nil, is called after each read; ok is set if the read succeeded.
+	// OnRead, if not nil, is called after each read, once its entries were applied; ok is set if the
+	// read succeeded.
 	OnRead func(ok bool)
 
 	mu sync.Mutex
@@ -56,7 +57,11 @@
 func (f *Follower[T]) Run(ctx context.Context) {
 	offset, lost := int64(-1), false
 	for ctx.Err() == nil {
-		entries, nextOffset, err := f.read(ctx, offset)
+		wait := readWait
+		if lost {
+			wait = 0 // the time of the store's return is wanted, and what was written before
+		}
+		entries, nextOffset, err := f.read(ctx, offset, wait)
 		var expired *port.ExpiredError
 		switch {
 		case ctx.Err() != nil:
@@ -82,8 +87,8 @@
 			klog.InfoS("dependency regained", "dependency", "store", "feed", f.Name)
 			lost = false
 		}
-		f.notifyRead(true)
 		offset = f.apply(entries, offset < 0, nextOffset)
+		f.notifyRead(true)
 		clock.Sleep(ctx, readPause)
 	}
 }
@@ -123,11 +128,11 @@
 // errNotListed is the error of Refresh before the feed was read for the first time.
 var errNotListed = errors.New("fleet: the feed has not been listed yet")
 
-func (f *Follower[T]) read(ctx context.Context, offset int64) ([]port.Entry[T], int64, error) {
+func (f *Follower[T]) read(ctx context.Context, offset int64, wait time.Duration) ([]port.Entry[T], int64, error) {
 	if offset < 0 {
 		return f.Feed.Newest(ctx)
 	}
-	return f.Feed.Changes(ctx, offset, readWait)
+	return f.Feed.Changes(ctx, offset, wait)
 }
 
 func (f *Follower[T]) notifyRead(ok bool) {
--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -75,6 +75,9 @@
 	// byteBounds holds the logged numbers of bytes above which servers crash, by service.
 	byteBounds map[string]int64
 
+	// onOutage is set by NotifyOutages.
+	onOutage func(since time.Time)
+
 	paces paceMetrics
 }
 
@@ -86,6 +89,21 @@
 	return &View{ready: make(chan struct{}), registry: serving.NewRegistry(), table: balance.NewTable(random), runTimes: map[string]time.Duration{}, versions: map[serviceVersion]time.Time{}, byteBounds: map[string]int64{}}
 }
 
+// SetHeartbeat sets the interval of the heartbeats of servers.
+func (v *View) SetHeartbeat(interval time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.registry.Heartbeat = interval
+}
+
+// NotifyOutages sets the function that is called after an outage in which entries may have expired,
+// with the time of the last read before it. It must not call the view.
+func (v *View) NotifyOutages(onOutage func(since time.Time)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.onOutage = onOutage
+}
+
 // Revision returns the configuration in force, or nil if none has been read yet.
 func (v *View) Revision() *serving.Revision { return v.revision.Load() }
 
@@ -143,6 +161,7 @@
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.recordServersRead(now)
 	changed := false
 	listed := map[string]bool{}
 	for _, e := range entries {
@@ -214,7 +233,8 @@
 	return slices.Clone(v.ownDepartures)
 }
 
-// RecordServersRead records a read of the server feed; ok is set if it succeeded.
+// RecordServersRead records a read of the server feed, after its entries were applied; ok is set
+// if it succeeded.
 func (v *View) RecordServersRead(ok bool) {
 	now := time.Now()
 	v.mu.Lock()
@@ -223,8 +243,38 @@
 		v.registry.StoreUnavailable()
 		return
 	}
+	v.recordServersRead(now)
+}
+
+// recordServersRead records a successful read of the server feed before its entries are
+// applied. The lock must be held.
+func (v *View) recordServersRead(now time.Time) {
+	since := v.serversReadAt
+	if v.registry.RecordRead(now) && !since.IsZero() {
+		klog.InfoS("entries of servers may have expired in an outage of the store", "sinceRead", now.Sub(since))
+		if v.onOutage != nil {
+			v.onOutage(since)
+		}
+	}
 	v.serversReadAt = now
-	v.registry.StoreRecovered(now)
+}
+
+// RecordStoreWasUp records that other instances reached the store during the last outage. Servers
+// whose entries are gone have left then.
+func (v *View) RecordStoreWasUp() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.logDropped(v.registry.StoreWasUp(time.Now()), "entry removed while this instance was cut off")
+}
+
+// logDropped logs servers that were dropped from the registry. The lock must be held.
+func (v *View) logDropped(servers []string, cause string) {
+	for _, id := range servers {
+		klog.InfoS("server gone", "server", id, "cause", cause)
+	}
+	if len(servers) > 0 {
+		v.setServers()
+	}
 }
 
 // RecordConfigRead records a read of the configuration feed; ok is set if it succeeded.
@@ -244,13 +294,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.table.ExpirePeers(now)
-	expired := v.registry.Expire(now)
-	for _, id := range expired {
-		klog.InfoS("server gone", "server", id, "cause", "entry did not return after store outage")
-	}
-	if len(expired) > 0 {
-		v.setServers()
-	}
+	v.logDropped(v.registry.Expire(now), "entry did not return after store outage")
 }
 
 // ServersAge returns the time since the servers were last read, or zero if they were not.
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -42,6 +42,8 @@
 	kindPlacement
 	kindQuotaReport
 	kindPaces
+	kindStoreQuestion
+	kindStoreReply
 )
 
 // Versions of the protocol between instances. An instance states the version that it
@@ -131,6 +133,21 @@
 	Records []byte
 }
 
+// storeQuestion asks an instance for how long it has reached the store.
+type storeQuestion struct {
+	_    struct{} `cbor:",toarray"`
+	Name string
+}
+
+// storeReply answers a storeQuestion.
+type storeReply struct {
+	_    struct{} `cbor:",toarray"`
+	Name string
+	// UpMs is the time in milliseconds for which no call on the own path has failed; zero while the
+	// path is down.
+	UpMs uint64
+}
+
 // originQuestion asks a hub where a stream began.
 type originQuestion struct {
 	_        struct{} `cbor:",toarray"`
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -56,6 +56,8 @@
 	// ReachesStore reports whether this instance's own path to the store is up; nil means
 	// that it always is.
 	ReachesStore func() bool
+	// StoreUpFor returns for how long no call on the own path has failed; nil means zero.
+	StoreUpFor func() time.Duration
 	// OnPreempt preempts one batch request of this instance on a server. It returns false
 	// if the instance has none there.
 	OnPreempt func(server string) bool
@@ -102,6 +104,8 @@
 	quota       quotaState
 	// shares has its own lock.
 	shares shares
+	// outages has its own lock.
+	outages outageCheck
 	// entriesMissing is set when a roster names an instance whose entry is not known.
 	entriesMissing bool
 	// pacesSentAt is the time of the last paceReport.
@@ -123,9 +127,10 @@
 	g := &Group{
 		opt: opt, conn: opt.Conn, wakeups: make(chan struct{}, 1), peers: map[string]*peer{}, peersByHash: map[uint32]*peer{},
 		pending: map[uint64]chan placement{}, preemptions: newPreemptionLog(),
-		origins: newOriginQuestions(), containment: newContainment(opt.Name), quota: newQuotaState(opt.Name),
+		origins: newOriginQuestions(), outages: newOutageCheck(), containment: newContainment(opt.Name), quota: newQuotaState(opt.Name),
 	}
 	opt.View.NotifyLoadChanges(g.wake)
+	opt.View.NotifyOutages(g.outages.add)
 	return g, nil
 }
 
@@ -205,6 +210,10 @@
 		return handle(raw, from, g.onTotals)
 	case kindQuotaReport:
 		return handle(raw, from, g.onQuotaReport)
+	case kindStoreQuestion:
+		return handle(raw, from, g.onStoreQuestion)
+	case kindStoreReply:
+		return handle(raw, from, g.onStoreReply)
 	}
 	return errors.New("peers: datagram of unknown kind")
 }
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -96,6 +96,14 @@
 	mu        sync.Mutex
 	preempted []string
 	batch     []*fleet.Lease
+	// storeUp is for how long the instance has reached the store.
+	storeUp time.Duration
+}
+
+func (n *node) storeUpFor() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeUp
 }
 
 // preempt ends a batch request of the instance on a server, if there is one.
@@ -138,7 +146,7 @@
 	conn := net.open()
 	group, err := NewGroup(Options{
 		Name: name, Cores: 1, Incarnation: 1, Listen: conn.address.String(), Conn: conn, View: n.view, Feed: f,
-		ReachesStore: reachesStore, OnPreempt: n.preempt,
+		ReachesStore: reachesStore, StoreUpFor: n.storeUpFor, OnPreempt: n.preempt,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -146,7 +154,7 @@
 	n.group = group
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	for _, task := range []func(context.Context){group.Receive, group.SendReports, func(ctx context.Context) { group.Announce(ctx, 100*time.Millisecond) }} {
+	for _, task := range []func(context.Context){group.Receive, group.SendReports, group.CheckOutages, func(ctx context.Context) { group.Announce(ctx, 100*time.Millisecond) }} {
 		running.Go(func() { task(ctx) })
 	}
 	var once sync.Once
--- a/node/relay/outage_test.go
+++ b/node/relay/outage_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/relay"
 )
@@ -82,39 +85,111 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return port.Page{End: int64(len(s.values))}, nil
+	page := port.Page{End: int64(len(s.values))}
+	for offset := from; offset < page.End; offset++ {
+		page.Records = append(page.Records, port.Record{Offset: offset, Payload: []byte{byte(s.values[offset])}})
+	}
+	return page, nil
 }
 
-// valueFeed is the feed of the values of a store.
-type valueFeed struct {
-	port.Feed[int]
+// storeFeed is the feed of the values of a store as entries. It is never listed as a whole.
+type storeFeed[T any] struct {
+	port.Feed[T]
 	store *relay.Store
+	entry func(value int) port.Entry[T]
+	first []port.Entry[T]
 }
 
-func (f valueFeed) Newest(context.Context) ([]port.Entry[int], int64, error) { return nil, 0, nil }
+func (f storeFeed[T]) Newest(context.Context) ([]port.Entry[T], int64, error) { return f.first, 0, nil }
 
-func (f valueFeed) Changes(ctx context.Context, from int64, wait time.Duration) ([]port.Entry[int], int64, error) {
+func (f storeFeed[T]) Changes(ctx context.Context, from int64, wait time.Duration) ([]port.Entry[T], int64, error) {
 	page, err := f.store.Read(ctx, partition, from, 1000, wait)
-	return make([]port.Entry[int], max(0, page.End-from)), max(from, page.End), err
+	var entries []port.Entry[T]
+	for _, r := range page.Records {
+		entries = append(entries, f.entry(int(r.Payload[0])))
+	}
+	return entries, from + int64(len(entries)), err
 }
 
-// Guards against a read that was sent to a silent store, or whose response was lost there, and that
-// delays the next one past the store's return: changes were in force, and servers known as gone, too late.
-func TestChangesAfterASilentStoreAreReadInTime(t *testing.T) {
+// forOutages runs a test with outages of many lengths that begin at any point of a read.
+func forOutages(t *testing.T, test func(t *testing.T, store *silentStore)) {
+	t.Helper()
 	for outage := 200 * time.Millisecond; outage <= 8*time.Second; outage += 300 * time.Millisecond {
 		for begin := time.Duration(0); begin < 2400*time.Millisecond; begin += 160 * time.Millisecond {
 			synctest.Test(t, func(t *testing.T) {
 				now := time.Now()
 				store := &silentStore{changed: make(chan struct{}), from: now.Add(time.Second + begin)}
 				store.until = store.from.Add(outage)
-				if late := readsTooLate(t, store); late > 0 {
-					t.Errorf("outage of %v after %v: the last change is read %v too late", outage, begin, late)
+				test(t, store)
+				if t.Failed() {
+					t.Fatalf("outage of %v after %v", outage, time.Second+begin)
 				}
 			})
 		}
 	}
 }
 
+// Guards against a read that was sent to a silent store, or whose response was lost there, and that
+// delays the next one past the store's return: configurations were in force too late.
+func TestChangesAfterASilentStoreAreReadInTime(t *testing.T) {
+	forOutages(t, func(t *testing.T, store *silentStore) {
+		if late := readsTooLate(t, store); late > 0 {
+			t.Errorf("the last change is read %v too late", late)
+		}
+	})
+}
+
+// Guards against servers that leave once a store that was silent counts as stable, and are used for too
+// long: their entries are taken for ones that expired in the outage. Ones that did expire are not dropped
+// before they had time to return.
+func TestServersThatLeaveAfterASilentStoreAreDroppedInTime(t *testing.T) {
+	const (
+		leaves      = 3030 * time.Millisecond
+		drainTime   = 2 * time.Second
+		returnsBy   = 2 * time.Second
+		expiryCheck = 500 * time.Millisecond
+	)
+	forOutages(t, func(t *testing.T, store *silentStore) {
+		ctx, cancel := context.WithCancel(t.Context())
+		view := fleet.NewView(rand.New(rand.NewPCG(1, 2)))
+		instance := relay.NewStore(store, &peers{}, nil, probeTopic)
+		instance.OnRegained = func() { view.RecordServersRead(false) }
+		names := []string{"leaves", "expires", "stays"}
+		var first []port.Entry[serving.Server]
+		for _, name := range names {
+			first = append(first, port.Entry[serving.Server]{Key: name, Value: &serving.Server{ID: name, Service: "svc"}})
+		}
+		removal := func(value int) port.Entry[serving.Server] { return port.Entry[serving.Server]{Key: names[value]} }
+		follower := &fleet.Follower[serving.Server]{
+			Name: "test", Feed: storeFeed[serving.Server]{store: instance, entry: removal, first: first}, Apply: view.ApplyServers, OnRead: view.RecordServersRead,
+		}
+		var running sync.WaitGroup
+		running.Go(func() { follower.Run(ctx) })
+		running.Go(func() { instance.RunProbes(ctx) })
+		running.Go(func() {
+			for ; ctx.Err() == nil; clock.Sleep(ctx, expiryCheck) {
+				view.Expire()
+			}
+		})
+		if expires := store.until.Add(-200 * time.Millisecond); store.until.Sub(store.from) > 3*serving.DefaultHeartbeat {
+			time.Sleep(time.Until(expires))
+			store.write(1)
+			time.Sleep(time.Until(store.until.Add(returnsBy)))
+			if view.Server("expires") == nil {
+				t.Error("a live server was dropped before its entry could return")
+			}
+		}
+		time.Sleep(time.Until(store.until.Add(leaves)))
+		store.write(0)
+		time.Sleep(drainTime)
+		if view.Server("leaves") != nil || view.Server("stays") == nil {
+			t.Error("the server that left is in use, or the other one is not")
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
 // readsTooLate runs an instance beside a store that is silent for a time, and returns by how much the
 // worst change is applied too late.
 func readsTooLate(t *testing.T, store *silentStore) time.Duration {
@@ -123,7 +198,8 @@
 	var mu sync.Mutex
 	var written []time.Time
 	worst, applied := time.Duration(0), 0
-	follower := &fleet.Follower[int]{Name: "test", Feed: valueFeed{store: instance}, Apply: func(entries []port.Entry[int], _ bool) {
+	value := func(value int) port.Entry[int] { return port.Entry[int]{Value: &value} }
+	follower := &fleet.Follower[int]{Name: "test", Feed: storeFeed[int]{store: instance, entry: value}, Apply: func(entries []port.Entry[int], _ bool) {
 		mu.Lock()
 		defer mu.Unlock()
 		for range entries {
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -46,6 +46,9 @@
 	conns   peer.Connector
 	// probeTopic is the topic that a probe of the own path reads.
 	probeTopic string
+	// OnRegained, if not nil, is called when the own path is up again, before the reads in flight are
+	// made again. It must be set before the first call.
+	OnRegained func()
 
 	mu    sync.Mutex
 	paths *pathselect.Paths
@@ -54,6 +57,8 @@
 	// rejectedSince is the time of the first call on the own path that was rejected by the rate
 	// limit since one succeeded; zero if none was.
 	rejectedSince time.Time
+	// upSince is the time since which no call on the own path has failed.
+	upSince time.Time
 	// probeRequests receives a value to request a probe of the own path.
 	probeRequests chan struct{}
 
@@ -69,7 +74,7 @@
 // NewStore returns a store whose own path is own. A probe of the own path reads topic,
 // which must be a keyed topic.
 func NewStore(own port.Store, peers Peers, conns peer.Connector, topic string) *Store {
-	return &Store{ownPath: own, peers: peers, conns: conns, probeTopic: topic, paths: pathselect.NewPaths(), probeRequests: make(chan struct{}, 1)}
+	return &Store{ownPath: own, peers: peers, conns: conns, probeTopic: topic, paths: pathselect.NewPaths(), upSince: time.Now(), probeRequests: make(chan struct{}, 1)}
 }
 
 // OwnPathUp reports whether the instance's own path is up.
@@ -79,6 +84,17 @@
 	return s.paths.OwnPathUp()
 }
 
+// UpFor returns for how long no call on the own path has failed or got lost; zero while the path is
+// down.
+func (s *Store) UpFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.paths.OwnPathUp() {
+		return 0
+	}
+	return time.Since(s.upSince)
+}
+
 // Reachability returns how the instance can reach the store, as far as it knows.
 func (s *Store) Reachability() pathselect.Reachability {
 	peers := s.peers.LivePeers()
@@ -299,6 +315,9 @@
 		s.counts.Add("rate_limited", 1)
 	case ctx.Err() == nil:
 		s.counts.Add("own_failed", 1)
+		s.mu.Lock()
+		s.upSince = time.Now()
+		s.mu.Unlock()
 		s.requestProbe()
 	}
 	return value, err
@@ -334,9 +353,15 @@
 	s.rejectedSince = time.Time{}
 	regained := s.paths.RecordSuccess(latency)
 	lost := s.reads.TakeLost(sentAt, regained)
+	if regained || len(lost) > 0 {
+		s.upSince = time.Now()
+	}
 	s.mu.Unlock()
 	if regained {
 		klog.InfoS("dependency regained", "dependency", "store", "path", "own", "lostReads", len(lost))
+		if s.OnRegained != nil {
+			s.OnRegained()
+		}
 	}
 	s.counts.Add("reads_lost", int64(len(lost)))
 	for _, r := range lost {
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -132,6 +132,7 @@
 		view: fleet.NewView(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pool: exchange.NewPool(exchange.Options{}), peerConns: peer.NewPool(nil), jobMetrics: &jobs.Metrics{},
 	}
+	i.view.SetHeartbeat(s.Heartbeat())
 	i.store = relay.NewStore(p.Store, peersOf{i}, i.peerConns, p.InstancesTopic)
 	i.feeds, i.index = p.NewFeeds(i.store), jobs.NewIndex(i.store)
 	blobStore := jobs.NewBlobStore(i.store, jobs.BlobStoreOptions{
@@ -143,13 +144,15 @@
 	group, err := peers.NewGroup(peers.Options{
 		Name: s.Instance, DataCentre: s.DataCentre, Cores: s.Limits.Cores, Incarnation: i.incarnation,
 		Listen: s.Listen.PeerAddress(),
-		View:   i.view, Feed: i.feeds.Instances, ReachesStore: i.store.OwnPathUp, OnPreempt: func(server string) bool { return i.runner.PreemptItem(server) },
+		View:   i.view, Feed: i.feeds.Instances, ReachesStore: i.store.OwnPathUp, StoreUpFor: i.store.UpFor, OnPreempt: func(server string) bool { return i.runner.PreemptItem(server) },
 		Origins: i.origins,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("serve: open datagram socket: %w", err)
 	}
 	i.group = group
+	// A read that is made again does not fail, though there was an outage.
+	i.store.OnRegained = func() { i.view.RecordServersRead(false) }
 	i.servers = &fleet.Follower[serving.Server]{Name: "servers", Feed: i.feeds.Servers, Apply: i.view.ApplyServers, OnRead: i.view.RecordServersRead}
 	i.origins.Store, i.origins.View, i.origins.Hubs, i.origins.RefreshServers = i.store, i.view, group, i.servers.Refresh
 	self := joblog.Holder{Instance: s.Instance, Incarnation: i.incarnation}
@@ -197,6 +200,7 @@
 	metrics.Set("containment", i.group.ContainmentMetrics())
 	metrics.Set("workspace_quotas", i.group.QuotaMetrics())
 	metrics.Set("shares", i.group.ShareMetrics())
+	metrics.Set("store_outages", i.group.OutageMetrics())
 	metrics.Set("jobs", i.jobMetrics.Map())
 	metrics.Set("prompts", expvar.Func(func() any { return i.view.PromptStats() }))
 	metrics.Set("waiting_tokens", i.index.WaitingMetrics())
@@ -292,7 +296,7 @@
 func (i *Instance) tasks() []backgroundTask {
 	config := &fleet.Follower[serving.Revision]{Name: "configuration", Feed: i.feeds.Config, Apply: i.view.ApplyConfig, OnRead: i.view.RecordConfigRead}
 	return []backgroundTask{
-		{"configuration", config.Run}, {"servers", i.servers.Run}, {"datagrams", i.group.Receive}, {"reports", i.group.SendReports},
+		{"configuration", config.Run}, {"servers", i.servers.Run}, {"datagrams", i.group.Receive}, {"reports", i.group.SendReports}, {"outages", i.group.CheckOutages},
 		{"job index", i.afterReady(i.index.Follow)}, {"job index appends", i.index.RunAppends}, {"items", i.runner.Run}, {"expiry", i.expireLoop}, {"origins", i.origins.Run},
 		{"store probes", i.store.RunProbes}, {"instances", func(ctx context.Context) { i.group.Announce(ctx, announceWait) }},
 	}
--- a/node/serve/settings.go
+++ b/node/serve/settings.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -10,17 +11,20 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 )
 
 // Settings are the settings of one instance on the users' platform. The platform renders
 // the file from deploy/settings.toml.tmpl.
 type Settings struct {
-	Instance   string `toml:"instance"`
-	DataCentre string `toml:"data_centre"`
-	Listen     Listen `toml:"listen"`
-	Limits     Limits `toml:"limits"`
-	Store      Store  `toml:"store"`
-	Drain      Drain  `toml:"drain"`
+	Instance   string  `toml:"instance"`
+	DataCentre string  `toml:"data_centre"`
+	Listen     Listen  `toml:"listen"`
+	Limits     Limits  `toml:"limits"`
+	Store      Store   `toml:"store"`
+	Drain      Drain   `toml:"drain"`
+	Servers    Servers `toml:"servers"`
 }
 
 // Listen holds the listen addresses of an instance.
@@ -62,6 +66,13 @@
 	GraceS float64 `toml:"grace_s"`
 }
 
+// Servers holds what is known of the backend servers.
+type Servers struct {
+	// HeartbeatMS is the interval of the heartbeats of servers in milliseconds; if it is missing,
+	// serving.DefaultHeartbeat.
+	HeartbeatMS int64 `toml:"heartbeat_ms"`
+}
+
 // Problem is an invalid or missing setting.
 type Problem struct{ Key, Cause string }
 
@@ -121,12 +132,20 @@
 			addProblem(key, "is not above zero")
 		}
 	}
+	if s.Servers.HeartbeatMS < 0 {
+		addProblem("servers.heartbeat_ms", "is below zero")
+	}
 	if s.Drain.GraceS <= 0 {
 		addProblem("drain.grace_s", "is not above zero")
 	}
 	return errors.Join(problems...)
 }
 
+// Heartbeat returns the interval of the heartbeats of servers.
+func (s *Settings) Heartbeat() time.Duration {
+	return cmp.Or(time.Duration(s.Servers.HeartbeatMS)*time.Millisecond, serving.DefaultHeartbeat)
+}
+
 // GracePeriod returns the time from SIGTERM to SIGKILL.
 func (s *Settings) GracePeriod() time.Duration {
 	return time.Duration(s.Drain.GraceS * float64(time.Second))
