fleet: followers that are behind do not pause, and list the newest configuration

Cause: the follower paused for 0.8 s after each page, also when the page did not reach the end of the feed. The job index (0.6 s) and the instances' entries (0.5 s) did the same, and Refresh took one page for all changes.

Change: port.Feed.Changes states the end of the feed, and only a read that reaches it is followed by a pause. Of the configuration only the newest version matters: if a page does not reach the end, the newest record is listed. Pages of the configuration are 64 KB, so that a cycle reads two versions at most, however many there are.

--- a/cmd/jacinthnotchd/serve.go
+++ b/cmd/jacinthnotchd/serve.go
@@ -51,6 +51,10 @@
 	return i.Run(ctx)
 }
 
+// configPageBytes limits the versions of the configuration that are read at once, of which only the
+// newest one matters.
+const configPageBytes = 64 << 10
+
 // newPlatform returns the adapter for the platform whose store listens at address.
 func newPlatform(address string) serve.Platform {
 	return serve.Platform{
@@ -59,8 +63,10 @@
 		Store:          platform.NewStore(address, exchange.Dial),
 		InstancesTopic: platform.KeyedTopic(instancesTopic),
 		NewFeeds: func(s port.Store) serve.Feeds {
+			config := platform.NewFeed(s, platform.ConfigTopic, platform.DecodeRevision, nil)
+			config.PageBytes = configPageBytes
 			return serve.Feeds{
-				Config:    platform.NewFeed(s, platform.ConfigTopic, platform.DecodeRevision, nil),
+				Config:    config,
 				Servers:   platform.NewFeed(s, platform.ServersTopic, platform.NewServerDecoder().Decode, nil),
 				Instances: platform.NewFeed(s, platform.KeyedTopic(instancesTopic), decodeInstance, encodeInstance),
 			}
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -110,10 +110,10 @@
 	return r.entries, r.next, r.err
 }
 
-func (f *scriptedFeed) Changes(context.Context, int64, time.Duration) ([]port.Entry[serving.Revision], int64, error) {
+func (f *scriptedFeed) Changes(context.Context, int64, time.Duration) (port.Changes[serving.Revision], error) {
 	f.changesCalls++
 	r := f.step()
-	return r.entries, r.next, r.err
+	return port.Changes[serving.Revision]{Entries: r.entries, Next: r.next, End: r.next}, r.err
 }
 
 func (f *scriptedFeed) Put(context.Context, string, *serving.Revision) error { return nil }
@@ -167,15 +167,17 @@
 const readTime = 50 * time.Millisecond
 
 func (f *logFeed) Newest(ctx context.Context) ([]port.Entry[serving.Revision], int64, error) {
-	return f.Changes(ctx, 0, 0)
+	changes, err := f.Changes(ctx, 0, 0)
+	return changes.Entries, changes.Next, err
 }
 
-func (f *logFeed) Changes(ctx context.Context, from int64, wait time.Duration) ([]port.Entry[serving.Revision], int64, error) {
+func (f *logFeed) Changes(ctx context.Context, from int64, wait time.Duration) (port.Changes[serving.Revision], error) {
 	f.mu.Lock()
 	entries := f.entries[from:]
 	f.mu.Unlock()
 	clock.Sleep(ctx, readTime+wait)
-	return entries, from + int64(len(entries)), ctx.Err()
+	end := from + int64(len(entries))
+	return port.Changes[serving.Revision]{Entries: entries, Next: end, End: end}, ctx.Err()
 }
 
 // Guards against a decision on entries that are older than the question, and against a late read
--- a/node/fleet/follow.go
+++ b/node/fleet/follow.go
@@ -20,7 +20,7 @@
 	// which together have to be below the 3 s after which a store that has recovered counts
 	// as stable.
 	readWait = 1500 * time.Millisecond
-	// readPause is the pause between two reads. It limits the reads of a busy feed:
+	// readPause is the pause after a read that reached the end of the feed. It limits the reads of a busy feed:
 	// servers write heartbeats several times a second, and the platform charges for each
 	// call. It must be short enough that a server gets no more requests 2 s after it has
 	// announced that it is leaving.
@@ -44,6 +44,9 @@
 	// OnRead, if not nil, is called after each read, once its entries were applied; ok is set if the
 	// read succeeded.
 	OnRead func(ok bool)
+	// NewestOnly is set if only the newest record of each key matters. The feed is listed then where
+	// it has more changes than fit into a page, instead of reading them all.
+	NewestOnly bool
 
 	mu sync.Mutex
 	// applied is the offset up to which entries were applied; listed is set once there was a
@@ -61,7 +64,7 @@
 		if lost {
 			wait = 0 // the time of the store's return is wanted, and what was written before
 		}
-		entries, nextOffset, err := f.read(ctx, offset, wait)
+		changes, err := f.read(ctx, offset, wait)
 		var expired *port.ExpiredError
 		switch {
 		case ctx.Err() != nil:
@@ -87,9 +90,16 @@
 			klog.InfoS("dependency regained", "dependency", "store", "feed", f.Name)
 			lost = false
 		}
-		offset = f.apply(entries, offset < 0, nextOffset)
+		behind, previous := changes.Next < changes.End, offset
+		offset = f.apply(changes.Entries, offset < 0, changes.Next)
 		f.notifyRead(true)
-		clock.Sleep(ctx, readPause)
+		switch {
+		case behind && f.NewestOnly:
+			offset = -1
+		case behind && offset > previous:
+		default:
+			clock.Sleep(ctx, readPause)
+		}
 	}
 }
 
@@ -117,20 +127,27 @@
 		if !listed {
 			return errNotListed
 		}
-		entries, next, err := f.Feed.Changes(ctx, from, 0)
-		if err == nil {
-			f.apply(entries, false, next)
+		for {
+			changes, err := f.Feed.Changes(ctx, from, 0)
+			if err != nil {
+				return err
+			}
+			f.apply(changes.Entries, false, changes.Next)
+			if changes.Next >= changes.End || changes.Next <= from {
+				return nil
+			}
+			from = changes.Next
 		}
-		return err
 	})
 }
 
 // errNotListed is the error of Refresh before the feed was read for the first time.
 var errNotListed = errors.New("fleet: the feed has not been listed yet")
 
-func (f *Follower[T]) read(ctx context.Context, offset int64, wait time.Duration) ([]port.Entry[T], int64, error) {
+func (f *Follower[T]) read(ctx context.Context, offset int64, wait time.Duration) (port.Changes[T], error) {
 	if offset < 0 {
-		return f.Feed.Newest(ctx)
+		entries, next, err := f.Feed.Newest(ctx)
+		return port.Changes[T]{Entries: entries, Next: next, End: next}, err
 	}
 	return f.Feed.Changes(ctx, offset, wait)
 }
--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -20,7 +20,7 @@
 	// readWait is the time for which the store holds a read of the index open until there
 	// are new records.
 	readWait = 800 * time.Millisecond
-	// minReadInterval is the pause after a read that returned records. It limits the
+	// minReadInterval is the pause after a read that returned the last records. It limits the
 	// number of calls, each of which has a cost, and is below maxStaleness so that the
 	// state stays current between two reads.
 	minReadInterval = 600 * time.Millisecond
@@ -77,7 +77,7 @@
 func (x *Index) Follow(ctx context.Context) {
 	lost, lastPurge := false, time.Now()
 	for ctx.Err() == nil {
-		n, err := x.readNext(ctx, readWait)
+		n, atEnd, err := x.readNext(ctx, readWait)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -103,14 +103,15 @@
 			x.table.Purge(now.Add(-jobRetention))
 			x.mu.Unlock()
 		}
-		if n > 0 {
+		if n > 0 && atEnd {
 			clock.Sleep(ctx, minReadInterval)
 		}
 	}
 }
 
-// readNext reads the next records, applies them and returns their number.
-func (x *Index) readNext(ctx context.Context, wait time.Duration) (int, error) {
+// readNext reads the next records and applies them. It returns their number, and whether they are
+// the last ones.
+func (x *Index) readNext(ctx context.Context, wait time.Duration) (n int, atEnd bool, err error) {
 	x.mu.Lock()
 	from := x.table.Next()
 	x.mu.Unlock()
@@ -121,10 +122,10 @@
 		x.mu.Lock()
 		x.table.SkipTo(expired.First)
 		x.mu.Unlock()
-		return 0, nil
+		return 0, true, nil
 	}
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	now := time.Now()
 	x.mu.Lock()
@@ -132,7 +133,7 @@
 	for _, r := range page.Records {
 		x.table.Apply(now, r.Offset, r.Payload)
 	}
-	if x.table.Next() >= page.End {
+	if atEnd = x.table.Next() >= page.End; atEnd {
 		x.currentAt = now
 		x.admissions.observe(now, x.table)
 	}
@@ -140,7 +141,7 @@
 		close(x.changed)
 		x.changed = make(chan struct{})
 	}
-	return len(page.Records), nil
+	return len(page.Records), atEnd, nil
 }
 
 // Read calls f with the table of jobs, which f must not retain. It returns a channel that
@@ -156,7 +157,7 @@
 // Follow.
 func (x *Index) CatchUp(ctx context.Context) error {
 	for {
-		n, err := x.readNext(ctx, 0)
+		n, _, err := x.readNext(ctx, 0)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/node/jobs/index_test.go
@@ -0,0 +1,45 @@
+package jobs
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
+)
+
+// longIndex is a store with many records of the index, of which a read returns a page.
+type longIndex struct {
+	port.Store
+	records, pageRecords int64
+}
+
+func (s longIndex) Read(ctx context.Context, _ port.Partition, from int64, _ int, wait time.Duration) (port.Page, error) {
+	clock.Sleep(ctx, 5*time.Millisecond)
+	page := port.Page{End: s.records}
+	for offset := from; offset < min(s.records, from+s.pageRecords); offset++ {
+		page.Records = append(page.Records, port.Record{Offset: offset, Payload: []byte("unreadable")})
+	}
+	if len(page.Records) == 0 {
+		clock.Sleep(ctx, wait)
+	}
+	return page, ctx.Err()
+}
+
+// Guards against an instance that refuses calls about jobs for seconds after its start, since it pauses
+// between the pages of the index.
+func TestLongIndexIsReadWithoutPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := NewIndex(longIndex{records: 40_000, pageRecords: 2000})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go x.Follow(ctx)
+		time.Sleep(maxStaleness)
+		if _, current := x.Read(func(*joblog.Table) {}); !current {
+			t.Errorf("the index is not current %v after the start", maxStaleness)
+		}
+	})
+}
--- a/node/peers/announce.go
+++ b/node/peers/announce.go
@@ -69,7 +69,7 @@
 		if next < 0 {
 			listedAt = time.Now()
 		}
-		entries, nextOffset, err := g.readEntries(ctx, next, wait)
+		changes, err := g.readEntries(ctx, next, wait)
 		var expired *port.ExpiredError
 		if errors.As(err, &expired) {
 			next = -1
@@ -79,17 +79,18 @@
 			clock.Sleep(ctx, announceRetryDelay)
 			continue
 		}
-		g.Apply(entries)
+		g.Apply(changes.Entries)
 		g.removeExpiredPeers(ctx)
-		published = g.isListed(entries, published && next >= 0)
-		next = nextOffset
+		published = g.isListed(changes.Entries, published && next >= 0)
+		behind := changes.Next < changes.End && changes.Next > next
+		next = changes.Next
 		if !published {
 			if err := g.announce(ctx); err != nil {
 				klog.InfoS("publishing instance entry failed", "err", err)
 				clock.Sleep(ctx, announceRetryDelay)
 			}
 		}
-		if len(entries) > 0 {
+		if len(changes.Entries) > 0 && !behind {
 			clock.Sleep(ctx, min(entriesReadPause, wait))
 		}
 	}
@@ -105,10 +106,11 @@
 }
 
 // readEntries reads the changes of the entries from an offset on, or all entries if the
-// offset is negative. It returns the offset to read from next.
-func (g *Group) readEntries(ctx context.Context, from int64, wait time.Duration) ([]port.Entry[Instance], int64, error) {
+// offset is negative.
+func (g *Group) readEntries(ctx context.Context, from int64, wait time.Duration) (port.Changes[Instance], error) {
 	if from < 0 {
-		return g.opt.Feed.Newest(ctx)
+		entries, next, err := g.opt.Feed.Newest(ctx)
+		return port.Changes[Instance]{Entries: entries, Next: next, End: next}, err
 	}
 	return g.opt.Feed.Changes(ctx, from, wait)
 }
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -60,16 +60,17 @@
 	return list, int64(len(f.log)), nil
 }
 
-func (f *fakeFeed) Changes(ctx context.Context, from int64, wait time.Duration) ([]port.Entry[Instance], int64, error) {
+func (f *fakeFeed) Changes(ctx context.Context, from int64, wait time.Duration) (port.Changes[Instance], error) {
 	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(time.Millisecond) {
 		f.mu.Lock()
 		list := slices.Clone(f.log[from:])
 		f.mu.Unlock()
 		if len(list) > 0 {
-			return list, from + int64(len(list)), nil
+			end := from + int64(len(list))
+			return port.Changes[Instance]{Entries: list, Next: end, End: end}, nil
 		}
 	}
-	return nil, from, ctx.Err()
+	return port.Changes[Instance]{Next: from, End: from}, ctx.Err()
 }
 
 func (f *fakeFeed) Put(_ context.Context, key string, i *Instance) error {
--- a/node/port/store.go
+++ b/node/port/store.go
@@ -63,15 +63,23 @@
 	Invalid error
 }
 
+// Changes are successive records of a compacted topic.
+type Changes[T any] struct {
+	Entries []Entry[T]
+	// Next is the offset of the record that follows them, and End the offset that the
+	// next record of the topic will get.
+	Next, End int64
+}
+
 // Feed is a compacted topic: only the newest record of each key is in force.
 type Feed[T any] interface {
 	// Newest returns the newest record of each key and the offset at which Changes
 	// continues without a gap.
 	Newest(ctx context.Context) (entries []Entry[T], next int64, err error)
-	// Changes returns the records starting at offset from, in order, and the next
-	// offset. If there are none it waits up to wait for one. A read below the
+	// Changes returns the records starting at offset from, in order, as many as fit into
+	// a page. If there are none it waits up to wait for one. A read below the
 	// retained range returns an *ExpiredError.
-	Changes(ctx context.Context, from int64, wait time.Duration) (entries []Entry[T], next int64, err error)
+	Changes(ctx context.Context, from int64, wait time.Duration) (Changes[T], error)
 	// Put writes the newest record of a key.
 	Put(ctx context.Context, key string, value *T) error
 }
--- a/node/relay/outage_test.go
+++ b/node/relay/outage_test.go
@@ -102,13 +102,13 @@
 
 func (f storeFeed[T]) Newest(context.Context) ([]port.Entry[T], int64, error) { return f.first, 0, nil }
 
-func (f storeFeed[T]) Changes(ctx context.Context, from int64, wait time.Duration) ([]port.Entry[T], int64, error) {
+func (f storeFeed[T]) Changes(ctx context.Context, from int64, wait time.Duration) (port.Changes[T], error) {
 	page, err := f.store.Read(ctx, partition, from, 1000, wait)
 	var entries []port.Entry[T]
 	for _, r := range page.Records {
 		entries = append(entries, f.entry(int(r.Payload[0])))
 	}
-	return entries, from + int64(len(entries)), err
+	return port.Changes[T]{Entries: entries, Next: from + int64(len(entries)), End: page.End}, err
 }
 
 // forOutages runs a test with outages of many lengths that begin at any point of a read.
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -294,7 +294,7 @@
 
 // tasks returns the background tasks of the instance; each runs in its own goroutine.
 func (i *Instance) tasks() []backgroundTask {
-	config := &fleet.Follower[serving.Revision]{Name: "configuration", Feed: i.feeds.Config, Apply: i.view.ApplyConfig, OnRead: i.view.RecordConfigRead}
+	config := &fleet.Follower[serving.Revision]{Name: "configuration", Feed: i.feeds.Config, Apply: i.view.ApplyConfig, OnRead: i.view.RecordConfigRead, NewestOnly: true}
 	return []backgroundTask{
 		{"configuration", config.Run}, {"servers", i.servers.Run}, {"datagrams", i.group.Receive}, {"reports", i.group.SendReports}, {"outages", i.group.CheckOutages},
 		{"job index", i.afterReady(i.index.Follow)}, {"job index appends", i.index.RunAppends}, {"items", i.runner.Run}, {"expiry", i.expireLoop}, {"origins", i.origins.Run},
