jobs: CatchUp reads on after records that have expired

Cause: CatchUp took a read that was answered "expired" for one that reached the end of the index.

Change: it ends at a read that reaches the end of the index. It also makes one call less, as it no longer reads an empty page after the last one.

Evidence: TestCatchUpReadsBeyondExpiredRecords failed before ("read up to record 300 of 1000").

--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -122,7 +122,7 @@
 		x.mu.Lock()
 		x.table.SkipTo(expired.First)
 		x.mu.Unlock()
-		return 0, true, nil
+		return 0, false, nil
 	}
 	if err != nil {
 		return 0, false, err
@@ -153,17 +153,14 @@
 	return x.changed, !x.currentAt.IsZero() && time.Since(x.currentAt) < maxStaleness
 }
 
-// CatchUp reads the index up to its end and applies the records. It does not depend on
+// CatchUp reads the index up to its present end and applies the records. It does not depend on
 // Follow.
 func (x *Index) CatchUp(ctx context.Context) error {
 	for {
-		n, _, err := x.readNext(ctx, 0)
-		if err != nil {
+		_, atEnd, err := x.readNext(ctx, 0)
+		if err != nil || atEnd {
 			return err
 		}
-		if n == 0 {
-			return nil
-		}
 	}
 }
 
--- a/node/jobs/index_test.go
+++ b/node/jobs/index_test.go
@@ -14,11 +14,15 @@
 // longIndex is a store with many records of the index, of which a read returns a page.
 type longIndex struct {
 	port.Store
-	records, pageRecords int64
+	// first is the offset of the first record that has not expired.
+	first, records, pageRecords int64
 }
 
 func (s longIndex) Read(ctx context.Context, _ port.Partition, from int64, _ int, wait time.Duration) (port.Page, error) {
 	clock.Sleep(ctx, 5*time.Millisecond)
+	if from < s.first {
+		return port.Page{}, &port.ExpiredError{Stream: IndexTopic, First: s.first}
+	}
 	page := port.Page{End: s.records}
 	for offset := from; offset < min(s.records, from+s.pageRecords); offset++ {
 		page.Records = append(page.Records, port.Record{Offset: offset, Payload: []byte("unreadable")})
@@ -43,3 +47,18 @@
 		}
 	})
 }
+
+// Guards against an instance that answers 404 for a job that exists, since it takes the expiry of the first
+// records of the index for the end of it.
+func TestCatchUpReadsBeyondExpiredRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := NewIndex(longIndex{first: 300, records: 1000, pageRecords: 200})
+		if err := x.CatchUp(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		var next int64
+		if x.Read(func(table *joblog.Table) { next = table.Next() }); next != 1000 {
+			t.Errorf("read up to record %d of 1000", next)
+		}
+	})
+}
