gateway, jobs: a stream that goes on takes only events that follow

Reported by other operators: a stream broke off, the next server answered with something else, and callers found its text in the middle of their stream, or a stream that ended as if it were whole.

A stream without IDs began anew at the next server.

Change: an answer that goes on must not have another type than an event stream, and its events must have the IDs that follow. The same holds for items of jobs. Streams and items without IDs do not go on elsewhere.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -225,7 +225,9 @@
 			c.fail("the time limit is reached")
 			return
 		case result == mayHaveRun:
-			if !c.repeatable() || c.runCount >= c.route.MaxAttempts {
+			// A stream whose events have no IDs cannot go on elsewhere.
+			unnumbered := c.headerWritten && c.lastEvent == 0
+			if !c.repeatable() || unnumbered || c.runCount >= c.route.MaxAttempts {
 				c.fail("no attempt is left")
 				return
 			}
--- a/node/gateway/events.go
+++ b/node/gateway/events.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"mime"
+	"net/http"
 	"strconv"
 )
 
@@ -39,6 +42,41 @@
 	return bytes.Join(data, []byte("\n"))
 }
 
+// IsComment reports whether the event has no field, only comments or blank lines.
+func (e Event) IsComment() bool {
+	for line := range bytes.Lines(e.Raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
+// IsEventStream reports whether a response may be an event stream by its type. A response
+// without a type may be one.
+func IsEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	if contentType == "" {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// Follows returns an error if an event does not follow the one with the ID last in a stream that
+// began in another response: whatever has no ID there does not belong to the stream.
+func (e Event) Follows(last int64) error {
+	switch {
+	case e.IsComment():
+		return nil
+	case !e.HasID:
+		return fmt.Errorf("event without an ID after event %d", last)
+	case e.ID != last+1:
+		return fmt.Errorf("event %d after event %d", e.ID, last)
+	}
+	return nil
+}
+
 // EventReader splits a stream into events. It never returns the incomplete event at the
 // end of a truncated stream.
 type EventReader struct {
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -130,6 +130,12 @@
 	if !c.mayTryAnother() {
 		gapTimeout = c.lastAttemptTimeout()
 	}
+	// goesOn is set if the events follow those of an earlier response.
+	goesOn := c.headerWritten || c.request.IsResume
+	if goesOn && !IsEventStream(response.Header) {
+		lease.End(balance.Failed)
+		return c.recordPossibleRun(lease, fmt.Errorf("type %q for a resumed stream", response.Header.Get("Content-Type")))
+	}
 	events, lastReceived := NewEventReader(response), start
 	for {
 		event, err := events.Next()
@@ -145,8 +151,11 @@
 		if err != nil {
 			return c.recordBrokenAttempt(ctx, lease, lastReceived, err)
 		}
-		if (c.headerWritten || c.request.IsResume) && event.HasID && event.ID != c.lastEvent+1 {
-			return c.recordBrokenAttempt(ctx, lease, lastReceived, fmt.Errorf("event %d after event %d", event.ID, c.lastEvent))
+		if goesOn || c.headerWritten && event.HasID {
+			err = event.Follows(c.lastEvent)
+		}
+		if err != nil {
+			return c.recordBrokenAttempt(ctx, lease, lastReceived, err)
 		}
 		timer.progress(gapTimeout)
 		now := time.Now()
--- a/node/jobs/resume.go
+++ b/node/jobs/resume.go
@@ -82,12 +82,15 @@
 	}
 }
 
-// canGoOn reports whether the leased server has the version that began the output, and whether
-// that version is certain.
+// canGoOn reports whether the leased server has the version that began the output, whether
+// that version is certain, and whether the output has an event to go on after.
 func (r *Runner) canGoOn(ctx context.Context, run *itemRun, lease *fleet.Lease) bool {
 	if !run.hasOutput {
 		return true
 	}
+	if run.lastEvent == 0 {
+		return false // its events have no IDs
+	}
 	if run.origin.Service != lease.Server.Service || run.origin.Version != lease.Server.Version {
 		return false
 	}
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -325,6 +325,12 @@
 
 // readOutput reads the events of the item's output.
 func (r *Runner) readOutput(ctx context.Context, run *itemRun, item *Item, progress *joblog.Progress, lease *fleet.Lease, response *exchange.Response, eventTimer *time.Timer, eventTimeout time.Duration) runOutcome {
+	if !gateway.IsEventStream(response.Header) {
+		lease.End(balance.Failed)
+		r.Metrics.count("failed")
+		r.logRun(item, run, lease, "failed", fmt.Errorf("type %q", response.Header.Get("Content-Type")))
+		return runOutcome{retryDelay: failedRetryDelay}
+	}
 	events, lastReceived, count := gateway.NewEventReader(response), time.Now(), 0
 	for {
 		event, err := events.Next()
@@ -335,8 +341,8 @@
 			r.logRun(item, run, lease, "completed", nil)
 			return runOutcome{result: &joblog.Result{Job: run.job, Item: run.index, ID: item.ID, State: joblog.Completed}, output: run.output}
 		}
-		if err == nil && run.hasOutput && event.HasID && event.ID != run.lastEvent+1 {
-			err = fmt.Errorf("event %d after event %d", event.ID, run.lastEvent)
+		if err == nil && run.hasOutput && (event.HasID || !run.fromStart) {
+			err = event.Follows(run.lastEvent)
 		}
 		if err != nil {
 			return r.handleInterruption(ctx, run, item, lease, err)
