relay: a lost read is made again once only

A read is given up when a call that was sent after it was due is answered. On a busy store a large response takes longer than those to other calls, so that the read was given up each time.

Change: it is made again once, and the second attempt ends with the client's timeout only.

--- a/node/fleet/follow.go
+++ b/node/fleet/follow.go
@@ -97,6 +97,7 @@
 		case behind && f.NewestOnly:
 			offset = -1
 		case behind && offset > previous:
+			// The next page follows at once.
 		default:
 			clock.Sleep(ctx, readPause)
 		}
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -108,6 +108,8 @@
 	// the header of the response was written.
 	lastEvent     int64
 	headerWritten bool
+	// numbered is set once an event with an ID was forwarded.
+	numbered bool
 	// firstLatency is the time from the arrival of the request until its response, or the
 	// first event of it, was forwarded.
 	firstLatency time.Duration
@@ -226,8 +228,7 @@
 			return
 		case result == mayHaveRun:
 			// A stream whose events have no IDs cannot go on elsewhere.
-			unnumbered := c.headerWritten && c.lastEvent == 0
-			if !c.repeatable() || unnumbered || c.runCount >= c.route.MaxAttempts {
+			if !c.repeatable() || c.headerWritten && !c.numbered || c.runCount >= c.route.MaxAttempts {
 				c.fail("no attempt is left")
 				return
 			}
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -185,7 +185,7 @@
 		c.writer.WriteHeader(response.Status)
 	}
 	if event.HasID {
-		c.lastEvent = event.ID
+		c.lastEvent, c.numbered = event.ID, true
 	}
 	if c.deadline.IsZero() {
 		c.limitWrites()
--- a/node/relay/outage_test.go
+++ b/node/relay/outage_test.go
@@ -233,3 +233,40 @@
 	}
 	return worst
 }
+
+// busyStore answers reads after a second, and other calls at once.
+type busyStore struct {
+	silentStore
+	reads int
+}
+
+func (s *busyStore) Read(ctx context.Context, _ port.Partition, _ int64, _ int, _ time.Duration) (port.Page, error) {
+	s.reads++
+	clock.Sleep(ctx, time.Second)
+	if ctx.Err() != nil {
+		return port.Page{}, fmt.Errorf("%w: %w", port.ErrOutcomeUnknown, ctx.Err())
+	}
+	return port.Page{End: 1}, nil
+}
+
+// Guards against a large response on a busy store that never arrives, since the read is given up each time that
+// a smaller one overtakes it.
+func TestLargeReadIsNotGivenUpForSmallOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &busyStore{}
+		instance := relay.NewStore(store, &peers{}, nil, probeTopic)
+		var running sync.WaitGroup
+		running.Go(func() { instance.RunProbes(ctx) })
+		running.Go(func() {
+			for ; ctx.Err() == nil; clock.Sleep(ctx, 100*time.Millisecond) {
+				_, _ = instance.Newest(ctx, "n", "")
+			}
+		})
+		if _, err := instance.Read(ctx, partition, 0, 1000, 0); err != nil || store.reads > 2 {
+			t.Errorf("%d reads, error %v", store.reads, err)
+		}
+		cancel()
+		running.Wait()
+	})
+}
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -61,7 +61,7 @@
 
 // Read implements peerpb.DRPCStoreServer.
 func (s *server) Read(ctx context.Context, in *peerpb.StoreRead) (*peerpb.StorePage, error) {
-	return encodePage(readUntilAnswered(ctx, s.store, milliseconds(in.GetWaitMs()), func(ctx context.Context, wait time.Duration) (port.Page, error) {
+	return encodePage(readAgainIfLost(ctx, s.store, milliseconds(in.GetWaitMs()), func(ctx context.Context, wait time.Duration) (port.Page, error) {
 		return serveCall(ctx, s.store, wait, func(ctx context.Context) (port.Page, error) {
 			return s.store.ownPath.Read(ctx, decodePartition(in.GetPartition()), in.GetFrom(), int(in.GetMaxBytes()), wait)
 		})
@@ -70,7 +70,7 @@
 
 // Newest implements peerpb.DRPCStoreServer.
 func (s *server) Newest(ctx context.Context, in *peerpb.StoreNewest) (*peerpb.StoreNewestPage, error) {
-	return encodeNewest(readUntilAnswered(ctx, s.store, 0, func(ctx context.Context, _ time.Duration) (port.NewestPage, error) {
+	return encodeNewest(readAgainIfLost(ctx, s.store, 0, func(ctx context.Context, _ time.Duration) (port.NewestPage, error) {
 		return serveCall(ctx, s.store, 0, func(ctx context.Context) (port.NewestPage, error) {
 			return s.store.ownPath.Newest(ctx, in.GetTopic(), in.GetAfter())
 		})
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -84,8 +84,8 @@
 	return s.paths.OwnPathUp()
 }
 
-// UpFor returns for how long no call on the own path has failed or got lost; zero while the path is
-// down.
+// UpFor returns for how long no call on the own path has failed or lost its response; zero while the
+// path is down.
 func (s *Store) UpFor() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -148,7 +148,7 @@
 
 // Read implements port.Store.
 func (s *Store) Read(ctx context.Context, p port.Partition, from int64, maxBytes int, wait time.Duration) (port.Page, error) {
-	return readUntilAnswered(ctx, s, wait, func(ctx context.Context, wait time.Duration) (port.Page, error) {
+	return readAgainIfLost(ctx, s, wait, func(ctx context.Context, wait time.Duration) (port.Page, error) {
 		return s.read(ctx, p, from, maxBytes, wait)
 	})
 }
@@ -170,7 +170,7 @@
 
 // Newest implements port.Store.
 func (s *Store) Newest(ctx context.Context, topic, after string) (port.NewestPage, error) {
-	return readUntilAnswered(ctx, s, 0, func(ctx context.Context, _ time.Duration) (port.NewestPage, error) {
+	return readAgainIfLost(ctx, s, 0, func(ctx context.Context, _ time.Duration) (port.NewestPage, error) {
 		return s.newest(ctx, topic, after)
 	})
 }
@@ -191,20 +191,19 @@
 // errResponseLost is the cause of the end of a read whose response cannot arrive any more.
 var errResponseLost = errors.New("relay: the response to a read is lost")
 
-// readUntilAnswered makes a read, and makes it again if its response is lost since the store was
-// silent. The store may delay the first response by up to wait; the others are asked for at once,
-// as there may be changes since the outage.
-func readUntilAnswered[T any](ctx context.Context, s *Store, wait time.Duration, read func(context.Context, time.Duration) (T, error)) (T, error) {
-	for {
-		attemptCtx, end := s.beginRead(ctx, wait)
-		value, err := read(attemptCtx, wait)
-		lost := err != nil && ctx.Err() == nil && errors.Is(context.Cause(attemptCtx), errResponseLost)
-		end()
-		if !lost {
-			return value, err
-		}
-		wait = 0
+// readAgainIfLost makes a read, and makes it once more if its response is lost since the store was
+// silent. The store may delay the first response by up to wait; the second one is asked for at once,
+// as there may be changes since the outage. It is not given up again: a large response on a busy
+// store takes longer than those to other calls, and would never arrive.
+func readAgainIfLost[T any](ctx context.Context, s *Store, wait time.Duration, read func(context.Context, time.Duration) (T, error)) (T, error) {
+	attemptCtx, end := s.beginRead(ctx, wait)
+	value, err := read(attemptCtx, wait)
+	lost := err != nil && ctx.Err() == nil && errors.Is(context.Cause(attemptCtx), errResponseLost)
+	end()
+	if lost {
+		return read(ctx, 0)
 	}
+	return value, err
 }
 
 // beginRead registers a read that is sent now. Its context ends with the cause errResponseLost
