--- a/node/fleet/behind_test.go
+++ b/node/fleet/behind_test.go
@@ -69,6 +69,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	worst, applied := time.Duration(0), 0
 	follower := &Follower[serving.Revision]{Name: "test", Feed: f, NewestOnly: newestOnly, Apply: func(entries []port.Entry[serving.Revision], _ bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		for _, e := range entries {
 			for ; applied < int(e.Value.Version); applied++ {
 				worst = max(worst, time.Since(f.written[applied]))
