gateway: a stream that has begun outlasts refusals of full servers

What callers saw: a resumable stream whose server broke off was closed in the middle after 1.6 to 2.7 s of its 5 s, although the next servers were sound and only full for a moment. Cause: a request that no server takes is rejected at once, so that its caller can go elsewhere. The same rule ended streams that had begun, which no caller can take elsewhere: after six refusals ("the servers refuse"), or if the expected wait took half of the time left. TestBegunStreamOutlastsRefusals failed before the change after 3 of 14 sends. Why this works: refusals state that the request has not run, so that asking again is safe; a begun stream asks again after 50 to 100 ms until its deadline, or its caller leaves, and accepts any place in a queue that is in time.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -64,6 +64,9 @@
 	// beginTime is the time after the first event in which a crash may be due to the beginning
 	// of the response.
 	beginTime = 100 * time.Millisecond
+	// A stream that has begun and finds no server to go on asks again after begunRetryDelay to twice
+	// that.
+	begunRetryDelay = 50 * time.Millisecond
 	// deadlineMargin is the time before the deadline from which a request counts as timed
 	// out, for the writing of the final response.
 	deadlineMargin = 20 * time.Millisecond
@@ -99,8 +102,13 @@
 	// origin is where the stream began, once an event was forwarded or if the caller takes a
 	// stream up.
 	origin streamOrigin
-	// tried holds the IDs of the servers that were sent the request.
-	tried map[string]bool
+	// tried holds the IDs of the servers that were sent the request, and notRunAt those among them
+	// that did not run it.
+	tried    map[string]bool
+	notRunAt []string
+	// waitsSince is when a stream that has begun first waited for a server to go on; zero if it
+	// has not.
+	waitsSince time.Time
 	// sentCount counts the servers that were sent the request, runCount those among them that
 	// may have run it, and notRunCount those that did not run it.
 	sentCount, runCount, notRunCount int
@@ -204,6 +212,8 @@
 		case reason == causeOverQuota:
 			c.refuseOverQuota()
 			return
+		case reason != causeNoVersion && reason != "" && c.awaitServers(ctx):
+			continue
 		case reason != "":
 			c.fail(reason)
 			return
@@ -211,6 +221,7 @@
 		result := c.attempt(ctx, lease)
 		if result == notRun {
 			c.notRunCount++
+			c.notRunAt = append(c.notRunAt, lease.Server.ID)
 		}
 		switch {
 		case result == delivered:
@@ -232,13 +243,34 @@
 				c.fail("no attempt is left")
 				return
 			}
-		case c.sentCount >= maxServersTried:
+		case c.sentCount >= maxServersTried && !c.headerWritten:
 			c.fail("the servers refuse")
 			return
 		}
 	}
 }
 
+// awaitServers waits until the servers that did not run the request may be asked again, if the
+// response has begun. It returns false if the stream has to be given up: it breaks off for its
+// caller, which is worse than a delay.
+func (c *call) awaitServers(ctx context.Context) bool {
+	if !c.headerWritten || c.incoming.Context().Err() != nil || c.deadlineReached() {
+		return false
+	}
+	if c.waitsSince.IsZero() {
+		c.waitsSince = time.Now()
+	}
+	if c.deadline.IsZero() && time.Since(c.waitsSince) > c.lastAttemptTimeout() {
+		return false
+	}
+	clock.Sleep(ctx, begunRetryDelay+rand.N(begunRetryDelay))
+	for _, server := range c.notRunAt {
+		delete(c.tried, server)
+	}
+	c.notRunAt = c.notRunAt[:0]
+	return ctx.Err() == nil
+}
+
 // limitWrites limits the time for which a caller that does not read its response can hold
 // the request up.
 func (c *call) limitWrites() {
@@ -300,6 +332,9 @@
 // maxQueueWait returns the longest time for which the request may be expected to wait in a
 // server's queue, where it would wait for the given time now.
 func (c *call) maxQueueWait(wait time.Duration) time.Duration {
+	if c.headerWritten {
+		return time.Until(c.deadline)
+	}
 	longest := time.Duration(maxQueueWaitShare * float64(time.Until(c.deadline)))
 	if c.runCount == 0 && c.sentCount == 0 && c.gateway.View.RateLimited(c.service) {
 		target := time.Duration(maxRateQueueShare * float64(c.route.LatencyObjective))
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -135,6 +135,26 @@
 	}
 }
 
+// Guards against a stream that has begun being broken off because the other servers are full for
+// a moment, though its caller has time left.
+func TestBegunStreamOutlastsRefusals(t *testing.T) {
+	const refusals = 12
+	f := newFleet(t, 3, streamRoute(true), func(c net.Conn, r *http.Request, n int) {
+		switch {
+		case n == 0:
+			sendTruncatedStream(c, 3)
+		case n <= refusals:
+			fmt.Fprint(c, fullResponse(http.StatusServiceUnavailable, "full", "Refused", "1"))
+		default:
+			fmt.Fprintf(c, streamHead, "second")
+			fmt.Fprint(c, chunk(event(4)), endOfStream)
+		}
+	})
+	if _, body, err := f.send(t); err != nil || body != event(1)+event(2)+event(3)+event(4) {
+		t.Fatalf("%q %v after %d sends", body, err, f.count())
+	}
+}
+
 // Guards against a broken stream that cannot be continued looking complete to its caller.
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	f := newFleet(t, 3, streamRoute(false), func(c net.Conn, _ *http.Request, _ int) { sendTruncatedStream(c, 2) })
