exchange: exchanges bear the silence of a sound server for four seconds

What callers saw: a server that falls silent for a second or two, and goes on, lost all its exchanges after 1.5 s: streams that run once broke off in the middle, others got 502. Cause: TCP_USER_TIMEOUT was 1.5 s on all connections. On Linux it also decides when keep-alive probes give up, whatever their count: an idle connection was closed 0.5 s after its first unanswered probe. Change: 4 s on connections with callers and servers, where a lost connection costs a caller its response and no retry is possible; 1.5 s as before for the store, other instances and the readiness address, whose calls are made again. Requests that may be repeated go to another server by their own timers, which are shorter.

--- a/cmd/jacinthnotchd/serve.go
+++ b/cmd/jacinthnotchd/serve.go
@@ -60,7 +60,7 @@
 	return serve.Platform{
 		Protocol:       platform.Protocol{},
 		ReadinessPath:  platform.ReadinessPath,
-		Store:          platform.NewStore(address, exchange.Dial),
+		Store:          platform.NewStore(address, exchange.DialControl),
 		InstancesTopic: platform.KeyedTopic(instancesTopic),
 		NewFeeds: func(s port.Store) serve.Feeds {
 			config := platform.NewFeed(s, platform.ConfigTopic, platform.DecodeRevision, nil)
--- a/node/jobs/away_test.go
+++ b/node/jobs/away_test.go
@@ -16,7 +16,7 @@
 	for _, away := range []bool{false, true} {
 		s := store.New()
 		s.SetFault(store.Unavailable, false)
-		blobs := jobs.NewBlobStore(platform.NewStore(s.Address(), exchange.Dial), jobs.BlobStoreOptions{
+		blobs := jobs.NewBlobStore(platform.NewStore(s.Address(), exchange.DialControl), jobs.BlobStoreOptions{
 			RecordBytes: 64 << 10, CallBytes: 1 << 20, Partitions: 8, IsStoreAway: func() bool { return away },
 		})
 		if _, err := blobs.Write(t.Context(), 0, [][]byte{[]byte("x")}); err == nil {
--- a/node/jobs/fixture_test.go
+++ b/node/jobs/fixture_test.go
@@ -286,7 +286,7 @@
 // start starts an instance. The incarnation distinguishes the starts of one instance.
 func (s *cluster) start(name string, incarnation uint32) *instance {
 	s.t.Helper()
-	client := platform.NewStore(s.store.Address(), exchange.Dial)
+	client := platform.NewStore(s.store.Address(), exchange.DialControl)
 	view := fleet.NewView(rand.New(rand.NewPCG(uint64(incarnation), 2)))
 	view.ApplyServers(s.entries(), true)
 	route := &serving.Route{Name: "batch", Host: testHost, PathPrefix: "/b/", Kind: serving.Batch, MaxAttempts: 3, DueAfter: time.Minute, MaxWaitingTokens: s.maxWaitingTokens, Targets: []serving.Target{{Service: "svc", Weight: 1}}}
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -231,11 +231,12 @@
 // Run serves until ctx is done and then drains.
 func (i *Instance) Run(ctx context.Context) error {
 	klog.InfoS("start", "instance", i.settings.Instance, "dataCentre", i.settings.DataCentre, "incarnation", i.incarnation)
-	config := net.ListenConfig{KeepAliveConfig: exchange.KeepAlive, Control: exchange.SetUserTimeout}
-	callers, err := config.Listen(ctx, "tcp4", i.settings.Listen.Callers)
+	callerConfig := net.ListenConfig{KeepAliveConfig: exchange.KeepAlive, Control: exchange.SetUserTimeout}
+	callers, err := callerConfig.Listen(ctx, "tcp4", i.settings.Listen.Callers)
 	if err != nil {
 		return fmt.Errorf("serve: listen for callers: %w", err)
 	}
+	config := net.ListenConfig{KeepAliveConfig: exchange.KeepAlive, Control: exchange.SetControlUserTimeout}
 	readiness, err := config.Listen(ctx, "tcp4", i.settings.Listen.Readiness)
 	if err != nil {
 		return fmt.Errorf("serve: listen for readiness checks: %w", err)
