jobs: instances that all read the index at once keep what has arrived

Cause: each instance read the index in pages of 512 KB. 300 of them share the 80 MB/s that the store gives to all reads, so that a page takes 2 s. It was given up after 1 to 1.5 s and asked for again from the same offset, so that the store's bandwidth was used for pages that nobody kept, and nobody ever got further. The class of fault: a timeout below what a shared resource can do under the load of its own repeats. Change: the size of a page follows the store (policy/pagesize): 64 KB at first, half of it after a page that takes 0.4 s or a lost one, twice as much after a full page within 0.1 s; 16 to 512 KB. Why this works: a page of 64 KB takes a quarter of a second when all ask at once, so that each read gets further.

--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
+	"github.com/jacinthnotch/jacinthnotch/policy/pagesize"
 	"github.com/jacinthnotch/jacinthnotch/policy/quota"
 )
 
@@ -24,8 +25,11 @@
 	// number of calls, each of which has a cost, and is below maxStaleness so that the
 	// state stays current between two reads.
 	minReadInterval = 600 * time.Millisecond
-	// maxReadBytes is the maximum size of the records of one read of the index.
-	maxReadBytes = 512 << 10
+	// The records of one read of the index have initialReadBytes at first, and minReadBytes to
+	// maxReadBytes as the store bears.
+	initialReadBytes = 64 << 10
+	minReadBytes     = 16 << 10
+	maxReadBytes     = 512 << 10
 	// minRetryDelay and maxRetryDelay limit the random delay after a failed call.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 300 * time.Millisecond
@@ -56,6 +60,11 @@
 
 	admissions admissions
 
+	// pageSize is the size of the next read. Only reads that the store answers at once tell how busy
+	// it is: those made while behind is set.
+	pageSize *pagesize.Size
+	behind   bool
+
 	appends     chan *pendingAppend
 	storeHealth storeHealth
 }
@@ -69,7 +78,7 @@
 func NewIndex(store port.Store) *Index {
 	return &Index{
 		store: store, table: joblog.NewTable(), changed: make(chan struct{}), admissions: admissions{quota.NewTable()},
-		appends: make(chan *pendingAppend, maxAppendRecords),
+		appends: make(chan *pendingAppend, maxAppendRecords), pageSize: pagesize.New(initialReadBytes, minReadBytes, maxReadBytes), behind: true,
 	}
 }
 
@@ -113,9 +122,11 @@
 // the last ones.
 func (x *Index) readNext(ctx context.Context, wait time.Duration) (n int, atEnd bool, err error) {
 	x.mu.Lock()
-	from := x.table.Next()
+	from, size := x.table.Next(), x.pageSize.Bytes()
 	x.mu.Unlock()
-	page, err := x.store.Read(ctx, indexPartition, from, maxReadBytes, wait)
+	sentAt := time.Now()
+	page, err := x.store.Read(ctx, indexPartition, from, size, wait)
+	x.recordRead(page, wait, time.Since(sentAt), err)
 	var expired *port.ExpiredError
 	if errors.As(err, &expired) {
 		klog.InfoS("job index records expired before they were read", "from", from, "first", expired.First)
@@ -144,6 +155,22 @@
 	return len(page.Records), atEnd, nil
 }
 
+// recordRead records what a read tells of how busy the store is.
+func (x *Index) recordRead(page port.Page, wait, took time.Duration, err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case errors.Is(err, port.ErrOutcomeUnknown):
+		x.pageSize.RecordFailure()
+	case err == nil:
+		atOnce := x.behind || wait == 0
+		x.behind = len(page.Records) > 0 && page.Records[len(page.Records)-1].Offset+1 < page.End
+		if atOnce {
+			x.pageSize.RecordPage(x.behind, took)
+		}
+	}
+}
+
 // Read calls f with the table of jobs, which f must not retain. It returns a channel that
 // is closed at the next change and whether the table is current.
 func (x *Index) Read(f func(*joblog.Table)) (changed <-chan struct{}, current bool) {
--- a/node/jobs/index_test.go
+++ b/node/jobs/index_test.go
@@ -1,7 +1,9 @@
 package jobs
 
 import (
+	"bytes"
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +50,76 @@
 	})
 }
 
+// busyStore is a store whose readers share its bandwidth evenly and give up a read after a time.
+type busyStore struct {
+	port.Store
+	readBytes int // a second
+	timeout   time.Duration
+	records   int64
+	payload   []byte
+
+	mu      sync.Mutex
+	readers int
+}
+
+func (s *busyStore) addReaders(n int) (readers int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readers += n
+	return s.readers
+}
+
+func (s *busyStore) Read(ctx context.Context, _ port.Partition, from int64, maxBytes int, wait time.Duration) (port.Page, error) {
+	const tick = 10 * time.Millisecond
+	page := port.Page{End: s.records}
+	for offset := from; offset < min(s.records, from+int64(maxBytes/len(s.payload))); offset++ {
+		page.Records = append(page.Records, port.Record{Offset: offset, Payload: s.payload})
+	}
+	if len(page.Records) == 0 {
+		clock.Sleep(ctx, wait)
+	}
+	s.addReaders(1)
+	defer s.addReaders(-1)
+	for left, began := len(page.Records)*len(s.payload), time.Now(); left > 0; left -= int(float64(s.readBytes)*tick.Seconds()) / s.addReaders(0) {
+		if time.Since(began) > s.timeout {
+			return port.Page{}, port.ErrOutcomeUnknown
+		}
+		clock.Sleep(ctx, tick)
+	}
+	return page, ctx.Err()
+}
+
+// Guards against instances that all start at once, after a loss of power, and never learn the jobs: the
+// store's bandwidth, shared by all, let no page arrive in time, and each was asked for again.
+func TestAllInstancesReadTheIndexAtOnce(t *testing.T) {
+	const (
+		instances    = 300
+		recoveryTime = 15 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := &busyStore{readBytes: 80 << 20, timeout: time.Second, records: 10_000, payload: bytes.Repeat([]byte{'x'}, 200)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		indexes := make([]*Index, instances)
+		for i := range indexes {
+			indexes[i] = NewIndex(s)
+			go indexes[i].Follow(ctx)
+		}
+		time.Sleep(recoveryTime)
+		behind := 0
+		for _, x := range indexes {
+			x.Read(func(table *joblog.Table) {
+				if table.Next() < s.records {
+					behind++
+				}
+			})
+		}
+		if behind > 0 {
+			t.Errorf("%d of %d instances have not read the index after %v", behind, instances, recoveryTime)
+		}
+	})
+}
+
 // Guards against an instance that answers 404 for a job that exists, since it takes the expiry of the first
 // records of the index for the end of it.
 func TestCatchUpReadsBeyondExpiredRecords(t *testing.T) {
