relay: second attempts at overdue calls have a budget

Cause: a call that the store has not answered within 6 times the mean latency is made through up to two other instances as well, and a read that a later call overtakes is made again. When the store is slow because all instances read at once, that multiplies the load that made it slow. Change: calls that are made again while the first attempt is in flight count against a budget: three at once, and a tenth of the calls that were answered. Others wait for the first attempt, or go through another instance as soon as the probe shows that the own path is down, 80 ms later in calm. Evidence: TestSlowStoreIsNotAskedAgainForEachCall: 60 calls through other instances for 60 reads of a slow store before the change, at most 6 now.

--- a/node/relay/outage_test.go
+++ b/node/relay/outage_test.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
+	"errors"
+	"expvar"
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"storj.io/drpc"
+
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/node/relay"
+	"github.com/jacinthnotch/jacinthnotch/policy/pathselect"
 )
 
 const (
@@ -237,11 +243,11 @@
 // busyStore answers reads after a second, and other calls at once.
 type busyStore struct {
 	silentStore
-	reads int
+	reads atomic.Int64
 }
 
 func (s *busyStore) Read(ctx context.Context, _ port.Partition, _ int64, _ int, _ time.Duration) (port.Page, error) {
-	s.reads++
+	s.reads.Add(1)
 	clock.Sleep(ctx, time.Second)
 	if ctx.Err() != nil {
 		return port.Page{}, fmt.Errorf("%w: %w", port.ErrOutcomeUnknown, ctx.Err())
@@ -263,8 +269,49 @@
 				_, _ = instance.Newest(ctx, "n", "")
 			}
 		})
-		if _, err := instance.Read(ctx, partition, 0, 1000, 0); err != nil || store.reads > 2 {
-			t.Errorf("%d reads, error %v", store.reads, err)
+		if _, err := instance.Read(ctx, partition, 0, 1000, 0); err != nil || store.reads.Load() > 2 {
+			t.Errorf("%d reads, error %v", store.reads.Load(), err)
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
+// noConns is a connector to instances that do not answer.
+type noConns struct{}
+
+func (noConns) Conn(context.Context, string) drpc.Conn { return noConn{} }
+
+type noConn struct{ drpc.Conn }
+
+func (noConn) Close() error { return nil }
+
+func (noConn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, _, _ drpc.Message) error {
+	<-ctx.Done()
+	return errors.New("no answer")
+}
+
+// Guards against a store that is slow under load and gets each call three times for that, since all
+// instances make calls through others that only wait for it.
+func TestSlowStoreIsNotAskedAgainForEachCall(t *testing.T) {
+	const reads, again = 60, 6
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		others := &peers{list: []pathselect.Peer{{Name: "b", Address: "b:1", ReachesStore: true}, {Name: "c", Address: "c:1", ReachesStore: true}}}
+		instance := relay.NewStore(&busyStore{}, others, noConns{}, probeTopic)
+		var running sync.WaitGroup
+		running.Go(func() { instance.RunProbes(ctx) })
+		var waiting sync.WaitGroup
+		for range reads {
+			waiting.Go(func() {
+				if _, err := instance.Read(ctx, partition, 0, 1000, 0); err != nil {
+					t.Errorf("read: %v", err)
+				}
+			})
+		}
+		waiting.Wait()
+		if n, _ := instance.Map().Get("through_peer").(*expvar.Int); n != nil && n.Value() > again {
+			t.Errorf("%d calls through instances for %d reads", n.Value(), reads)
 		}
 		cancel()
 		running.Wait()
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -54,6 +54,10 @@
 	paths *pathselect.Paths
 	// reads are the reads in flight, on the own path and through peers.
 	reads pathselect.Reads
+	// hedges limits the second attempts at calls that are in flight.
+	hedges pathselect.Hedges
+	// ownPathLost is closed while the own path is down.
+	ownPathLost chan struct{}
 	// rejectedSince is the time of the first call on the own path that was rejected by the rate
 	// limit since one succeeded; zero if none was.
 	rejectedSince time.Time
@@ -74,7 +78,7 @@
 // NewStore returns a store whose own path is own. A probe of the own path reads topic,
 // which must be a keyed topic.
 func NewStore(own port.Store, peers Peers, conns peer.Connector, topic string) *Store {
-	return &Store{ownPath: own, peers: peers, conns: conns, probeTopic: topic, paths: pathselect.NewPaths(), upSince: time.Now(), probeRequests: make(chan struct{}, 1)}
+	return &Store{ownPath: own, peers: peers, conns: conns, probeTopic: topic, paths: pathselect.NewPaths(), upSince: time.Now(), probeRequests: make(chan struct{}, 1), ownPathLost: make(chan struct{})}
 }
 
 // OwnPathUp reports whether the instance's own path is up.
@@ -251,17 +255,12 @@
 		value, err := callOwnPath(ctx, s, wait, own)
 		done <- result[T]{value, err}
 	}()
-	timer := time.NewTimer(wait + s.attemptTimeout())
-	defer timer.Stop()
-	select {
-	case r := <-done:
+	if r, ended := awaitOwnPath(s, wait, done); ended {
 		if answered(r.err) || ctx.Err() != nil || s.isBackpressure(r.err) {
 			return r.value, r.err
 		}
 		value, peerErr := callPeers(ctx, s, wait, viaPeer)
 		return value, combineErrors(peerErr, r.err)
-	case <-timer.C:
-		s.requestProbe()
 	}
 	value, peerErr := callPeers(ctx, s, wait, viaPeer)
 	if answered(peerErr) {
@@ -273,6 +272,42 @@
 	return r.value, combineErrors(r.err, peerErr)
 }
 
+// awaitOwnPath waits for the outcome of a call on the own path. It returns false if the call is to be made
+// through a peer meanwhile.
+func awaitOwnPath[T any](s *Store, wait time.Duration, done <-chan result[T]) (r result[T], ended bool) {
+	timer := time.NewTimer(wait + s.attemptTimeout())
+	defer timer.Stop()
+	select {
+	case r = <-done:
+		return r, true
+	case <-timer.C:
+	}
+	// The probe shows whether the path is down or the store only slow.
+	s.requestProbe()
+	pathLost, allowed := s.beginHedge()
+	if allowed {
+		return r, false
+	}
+	select {
+	case r = <-done:
+		return r, true
+	case <-pathLost:
+		return r, false
+	}
+}
+
+// beginHedge reports whether a call that is overdue on the own path may be made through a peer at once.
+// Otherwise it may be once pathLost is closed.
+func (s *Store) beginHedge() (pathLost <-chan struct{}, allowed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	allowed = s.hedges.Allow()
+	if !allowed {
+		s.counts.Add("hedges_withheld", 1)
+	}
+	return s.ownPathLost, allowed
+}
+
 // combineErrors combines the errors of a call on two paths. If the store responded on the
 // last one, only that result counts.
 func combineErrors(last, earlier error) error {
@@ -351,7 +386,14 @@
 	s.mu.Lock()
 	s.rejectedSince = time.Time{}
 	regained := s.paths.RecordSuccess(latency)
-	lost := s.reads.TakeLost(sentAt, regained)
+	if regained {
+		s.ownPathLost = make(chan struct{})
+	}
+	s.hedges.RecordAnswer()
+	var lost []*pathselect.Read
+	if regained || s.reads.Overdue(sentAt) && s.hedges.Allow() {
+		lost = s.reads.TakeLost(sentAt, regained)
+	}
 	if regained || len(lost) > 0 {
 		s.upSince = time.Now()
 	}
@@ -371,6 +413,9 @@
 func (s *Store) recordFailure(cause error) {
 	s.mu.Lock()
 	lost := s.paths.RecordFailure()
+	if lost {
+		close(s.ownPathLost)
+	}
 	s.mu.Unlock()
 	if lost {
 		klog.InfoS("dependency lost", "dependency", "store", "path", "own", "cause", cause)
--- a/policy/pathselect/reads.go
+++ b/policy/pathselect/reads.go
@@ -39,3 +39,13 @@
 	}
 	return lost
 }
+
+// Overdue reports whether a read was overdue when a call was sent that got its response.
+func (rs *Reads) Overdue(answered time.Time) bool {
+	for r := range rs.waiting {
+		if !r.DueAt.After(answered) {
+			return true
+		}
+	}
+	return false
+}
