exchange: failures of the path are told apart from those of the server

A dialer may connect through another instance. Its connections state whether they may be reused, and errors that wrap ErrPath say nothing of the server: the attempt ends as abandoned and is no evidence that the request crashes servers. The same holds for all failures while the instance knows that its own links are down: reports of them would make the hub avoid sound servers.

--- a/node/exchange/pool.go
+++ b/node/exchange/pool.go
@@ -23,8 +23,31 @@
 	// many are kept for one address.
 	MaxIdleTime       time.Duration
 	MaxIdlePerAddress int
-	// Dial replaces the Dial function of this package in tests.
+	// Dial replaces the Dial function of this package. DialTimeout covers all that it does.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnSuspect, if not nil, is called by CloseIdle.
+	OnSuspect func(address string)
+	// PathUp reports whether this instance's own links to servers are up; nil means that they always
+	// are.
+	PathUp func() bool
+}
+
+// ErrPath reports that the path to a server failed, which is no fault of the server.
+var ErrPath = errors.New("exchange: the path to the server failed")
+
+// Relayed is a connection of Options.Dial that another instance opened.
+type Relayed interface {
+	net.Conn
+	// Quiet reports whether the idle connection is open and has nothing to read.
+	Quiet() bool
+	// ReusableUntil returns the time after which the connection carries no further request.
+	ReusableUntil() time.Time
+}
+
+// IsPathFault reports whether an attempt that failed with err says nothing of the server, since the path
+// to it failed.
+func (p *Pool) IsPathFault(err error) bool {
+	return errors.Is(err, ErrPath) || p.options.PathUp != nil && !p.options.PathUp()
 }
 
 const (
@@ -184,6 +207,10 @@
 	}
 	now := time.Now()
 	c.idleSince, c.expiresAt = now, now.Add(keep)
+	if relayed, ok := c.Conn.(Relayed); ok {
+		keep = min(keep, relayed.ReusableUntil().Sub(now))
+		c.expiresAt = now.Add(keep)
+	}
 	p.mu.Lock()
 	if !p.closed && keep > 0 && len(p.idle[c.address]) < p.options.MaxIdlePerAddress {
 		p.idle[c.address] = append(p.idle[c.address], c)
@@ -229,12 +256,14 @@
 	delete(p.idle, address)
 	p.mu.Unlock()
 	closeAll(idle)
+	if p.options.OnSuspect != nil {
+		p.options.OnSuspect(address)
+	}
 }
 
-// Close closes all idle connections; connections that are released later are closed too.
-func (p *Pool) Close() {
+// CloseAllIdle closes all idle connections. It is called when the path to servers has changed.
+func (p *Pool) CloseAllIdle() {
 	p.mu.Lock()
-	p.closed = true
 	idle := p.idle
 	p.idle = map[string][]*conn{}
 	p.mu.Unlock()
@@ -243,6 +272,14 @@
 	}
 }
 
+// Close closes all idle connections; connections that are released later are closed too.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.CloseAllIdle()
+}
+
 func closeAll(list []*conn) {
 	for _, c := range list {
 		_ = c.Close() // no request is using an idle connection
@@ -260,6 +297,9 @@
 	if c.reader.Buffered() > 0 {
 		return true, true
 	}
+	if relayed, ok := c.Conn.(Relayed); ok {
+		return relayed.Quiet(), false
+	}
 	source, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true, false
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -464,10 +464,15 @@
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, errServerTimeout), cause == nil:
-		lease.End(balance.Unreachable)
+		pathFault := c.gateway.Pool.IsPathFault(err)
+		if pathFault {
+			lease.End(balance.Abandoned)
+		} else {
+			lease.End(balance.Unreachable)
+		}
 		if !errors.Is(err, exchange.ErrNotSent) {
 			c.gateway.Pool.CloseIdle(lease.Server.Address)
-			if cause == nil {
+			if cause == nil && !pathFault {
 				c.gateway.Containment.RecordBreak(c.suspects(time.Now()), lease.Server)
 			}
 		}
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -261,7 +261,11 @@
 		r.logRun(item, run, lease, "invalid", err)
 		return runOutcome{retryDelay: invalidRetryDelay}
 	case cause == nil, errors.Is(cause, errEventTimeout):
-		lease.End(balance.Unreachable)
+		if r.Pool.IsPathFault(err) {
+			lease.End(balance.Abandoned)
+		} else {
+			lease.End(balance.Unreachable)
+		}
 		r.Metrics.count("broken")
 		r.logRun(item, run, lease, "broken", err)
 		return runOutcome{retryDelay: run.interrupted(cause)}
