serve: an instance without links to servers serves its callers through others

What callers saw: instances that were partitioned from all servers answered 503, or late.

Cause: an instance had no path to the servers but its own.

The pool of connections now dials through another instance while the own links are down (node/tunnel, policy/linkstate). All that decides stays where the caller's request is: attempts, deadlines, quotas, leases. An instance that drains opens no tunnels for others and waits for those that are open.

TestStrandedInstanceServesItsCallers fails with the tunnels switched off: no request is served.

--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -657,3 +657,29 @@
 	}
 	return ids
 }
+
+// ServerAddresses returns the addresses of the registered servers that take requests.
+func (v *View) ServerAddresses() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	servers := v.registry.Servers()
+	addresses := make([]string, 0, len(servers))
+	for _, s := range servers {
+		if s.Usable() {
+			addresses = append(addresses, s.Address)
+		}
+	}
+	return addresses
+}
+
+// IsServerAddress reports whether an address is that of a registered server.
+func (v *View) IsServerAddress(address string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.registry.Servers() {
+		if s.Address == address {
+			return true
+		}
+	}
+	return false
+}
--- a/node/serve/edge.go
+++ b/node/serve/edge.go
@@ -27,6 +27,11 @@
 	// the operator's tools, and their heads.
 	maxReadinessConns       = 32
 	maxReadinessHeaderBytes = 8 << 10
+	// tunnelsDescriptorShare is the share of the descriptors for tunnels of other instances, which take
+	// two each, and tunnelsMemoryShare that of the memory, of which each takes tunnelBytes.
+	tunnelsDescriptorShare = 0.1
+	tunnelsMemoryShare     = 0.05
+	tunnelBytes            = 40 << 10
 	// minConns is the number of connections that an account takes in any case.
 	minConns = 16
 )
@@ -49,6 +54,16 @@
 	}
 }
 
+// maxTunnels returns the number of tunnels of other instances for the limits of a host.
+func maxTunnels(l Limits) int {
+	descriptors := l.Descriptors
+	if descriptors <= 0 {
+		descriptors = defaultDescriptors
+	}
+	sockets := float64(max(0, descriptors-reservedDescriptors))
+	return max(minConns, int(min(tunnelsDescriptorShare*sockets/2, tunnelsMemoryShare*float64(l.MemoryMB<<20)/tunnelBytes)))
+}
+
 // callerLimits returns the limits of the configuration in force.
 func (i *Instance) callerLimits() edge.Limits {
 	revision := i.view.Revision()
--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -88,6 +88,8 @@
 	ReadinessPath string
 	// Store calls the store directly, not through another instance.
 	Store port.Store
+	// DialServer opens a direct connection to a server; nil means exchange.Dial.
+	DialServer func(ctx context.Context, network, address string) (net.Conn, error)
 	// InstancesTopic is the topic in which instances publish their own entries. NewFeeds
 	// returns the feeds of a store.
 	InstancesTopic string
@@ -113,6 +115,7 @@
 	servers     *fleet.Follower[serving.Server]
 	origins     *origins.Index
 	pool        *exchange.Pool
+	links       *links
 	group       *peers.Group
 	index       *jobs.Index
 	runner      *jobs.Runner
@@ -129,9 +132,11 @@
 	debug.SetMemoryLimit(int64(goMemoryShare * float64(s.Limits.MemoryMB<<20)))
 	i := &Instance{
 		settings: s, platform: p, incarnation: rand.Uint32(),
-		view: fleet.NewView(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		pool: exchange.NewPool(exchange.Options{}), peerConns: peer.NewPool(nil), jobMetrics: &jobs.Metrics{},
+		view:      fleet.NewView(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		peerConns: peer.NewPool(nil), jobMetrics: &jobs.Metrics{},
 	}
+	i.links = newLinks(i, p.DialServer)
+	i.pool = exchange.NewPool(i.links.poolOptions())
 	i.view.SetHeartbeat(s.Heartbeat())
 	i.store = relay.NewStore(p.Store, peersOf{i}, i.peerConns, p.InstancesTopic)
 	i.feeds, i.index = p.NewFeeds(i.store), jobs.NewIndex(i.store)
@@ -206,6 +211,7 @@
 	metrics.Set("waiting_tokens", i.index.WaitingMetrics())
 	metrics.Set("store_calls", i.store.Map())
 	metrics.Set("server_faults", i.pool.Faults())
+	metrics.Set("server_links", i.links.dialer.Metrics())
 	metrics.Set("panics", guard.Metrics())
 	metrics.Set("edge_callers", i.accounts.callers.Metrics())
 	metrics.Set("edge_instances", i.accounts.peers.Metrics())
@@ -266,6 +272,7 @@
 			failures <- fmt.Errorf("serve: calls of other instances: %w", err)
 		}
 	})
+	i.links.serve(taskCtx, &running)
 	select {
 	case <-ctx.Done():
 		i.drain()
@@ -273,6 +280,7 @@
 	case err = <-failures:
 	}
 	stopTasks()
+	i.links.server.Close()
 	i.callers.Close()       // all requests are done or the grace period is over
 	_ = i.readiness.Close() // no response is needed any more
 	i.pool.Close()
@@ -299,7 +307,7 @@
 	return []backgroundTask{
 		{"configuration", config.Run}, {"servers", i.servers.Run}, {"datagrams", i.group.Receive}, {"reports", i.group.SendReports}, {"outages", i.group.CheckOutages},
 		{"job index", i.afterReady(i.index.Follow)}, {"job index appends", i.index.RunAppends}, {"items", i.runner.Run}, {"expiry", i.expireLoop}, {"origins", i.origins.Run},
-		{"store probes", i.store.RunProbes}, {"instances", func(ctx context.Context) { i.group.Announce(ctx, announceWait) }},
+		{"store probes", i.store.RunProbes}, {"server probes", i.links.dialer.RunProbes}, {"instances", func(ctx context.Context) { i.group.Announce(ctx, announceWait) }},
 	}
 }
 
@@ -367,6 +375,7 @@
 	end := start.Add(i.settings.GracePeriod() - exitMargin)
 	i.leaving.Store(true)
 	i.gateway.Drain.Begin(end)
+	i.links.server.Drain()
 	i.callers.Leave()
 	i.group.Leave()
 	handoverCtx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
@@ -380,5 +389,8 @@
 	if err := i.callers.Drain(shutdownCtx); err != nil {
 		klog.InfoS("drain interrupted requests in flight", "err", err)
 	}
+	if err := i.links.server.Wait(shutdownCtx); err != nil {
+		klog.InfoS("drain interrupted tunnels of other instances", "open", i.links.server.Open())
+	}
 	klog.InfoS("drain ends", "instance", i.settings.Instance, "took", time.Since(start))
 }
--- a/node/serve/settings.go
+++ b/node/serve/settings.go
@@ -42,6 +42,11 @@
 // RPCs over TCP.
 func (l Listen) PeerAddress() string { return net.JoinHostPort(l.IP, strconv.Itoa(int(l.FirstPort))) }
 
+// TunnelAddress returns the IP:PORT at which other instances open tunnels to servers.
+func (l Listen) TunnelAddress() string {
+	return net.JoinHostPort(l.IP, strconv.Itoa(int(l.FirstPort)+1))
+}
+
 // Limits are the resource limits of the host.
 type Limits struct {
 	MemoryMB int64 `toml:"memory_mb"`
@@ -71,8 +76,14 @@
 	// HeartbeatMS is the interval of the heartbeats of servers in milliseconds; if it is missing,
 	// serving.DefaultHeartbeat.
 	HeartbeatMS int64 `toml:"heartbeat_ms"`
+	// Relay is whether instances open connections to servers for each other; if it is missing, they
+	// do.
+	Relay *bool `toml:"relay"`
 }
 
+// Relays reports whether instances open connections to servers for each other.
+func (s Servers) Relays() bool { return s.Relay == nil || *s.Relay }
+
 // Problem is an invalid or missing setting.
 type Problem struct{ Key, Cause string }
 
