exchange: a status that HTTP does not know is no response

Callers saw the answers of servers with status 600 or 999 as they were; a head with status 000 or 101 was skipped like an interim one, and the bytes after it were read as the next head.

Cause: whatever http.ReadResponse parses and is at least 200 counted as final, and everything below as interim. ReadResponse takes any three digits, and any version.

Now a status line outside 100 to 599, 101 (no request asks for another protocol) and any major version but 1 make the exchange incomplete: 502 to the caller, another server where the route allows it, an item runs again. Interim heads with 100, 102 and 103, status lines without a reason and HTTP/1.0 are taken as before.

TestStatusLines failed before on 600, 999, HTTP/2.0, HTTP/0.9 and on a whole response behind a 000 or 101; TestUnknownStatusIsNoAnswer on 600 and 999 on a route that allows one attempt. TestFraming passed before; it holds what was not tested yet.

--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -115,8 +115,11 @@
 		response, err := readHead(c, r.Method)
 		if err != nil {
 			stopCancel()
-			if errors.Is(err, errHeadTooLarge) {
+			switch {
+			case errors.Is(err, errHeadTooLarge):
 				p.recordFault(faultHeadTooLarge, c)
+			case errors.Is(err, errInvalidStatus):
+				p.recordFault(faultInvalidStatus, c)
 			}
 			return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
 		}
--- a/node/exchange/head.go
+++ b/node/exchange/head.go
@@ -10,7 +10,17 @@
 // maxHeadBytes limits the head of a response together with the interim ones before it.
 const maxHeadBytes = 64 << 10
 
-var errHeadTooLarge = fmt.Errorf("exchange: the head of a response has more than %d bytes", maxHeadBytes)
+// Status codes have three digits, and the first one, the class, is 1 to 5 (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+var (
+	errHeadTooLarge = fmt.Errorf("exchange: the head of a response has more than %d bytes", maxHeadBytes)
+	// errInvalidStatus reports a status line that begins no HTTP/1 response to a request.
+	errInvalidStatus = errors.New("exchange: invalid status line")
+)
 
 // headLimiter reads from a connection. It limits the number of bytes while a head is being
 // read, because a faulty server may send bytes without end.
@@ -46,8 +56,20 @@
 			}
 			return nil, err
 		}
+		if err := checkStatusLine(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
 }
+
+// checkStatusLine returns an error if the head belongs to no HTTP/1 response. No request asks for
+// another protocol, so that 101 is none either.
+func checkStatusLine(r *http.Response) error {
+	if r.ProtoMajor != 1 || r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: %s %q", errInvalidStatus, r.Proto, r.Status)
+	}
+	return nil
+}
--- a/node/exchange/pool.go
+++ b/node/exchange/pool.go
@@ -55,6 +55,7 @@
 	faultUnidentified       = "unidentified_response"
 	faultBytesAfterResponse = "bytes_after_response"
 	faultHeadTooLarge       = "head_too_large"
+	faultInvalidStatus      = "invalid_status"
 )
 
 // Faults returns the numbers of the faults of servers by their kind.
