exchange: a framing header with space after its name fails the response

"Content-Length : 4" in the head of a server's answer was kept under a name of its own, and the body ended with the connection: a cut answer was taken for a whole one, and a body in chunks reached the caller with its sizes.

Cause: net/http accepts space before the colon in responses and frames the body without that header. RFC 9112, section 5.1, allows no such space. Now the exchange is incomplete if the name is Content-Length or Transfer-Encoding; other names harm nobody and pass.

TestFraming: "length after a space" and "coding after a space" failed before.

--- a/node/exchange/head.go
+++ b/node/exchange/head.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 )
 
 // maxHeadBytes limits the head of a response together with the interim ones before it.
@@ -20,6 +21,8 @@
 	errHeadTooLarge = fmt.Errorf("exchange: the head of a response has more than %d bytes", maxHeadBytes)
 	// errInvalidStatus reports a status line that begins no HTTP/1 response to a request.
 	errInvalidStatus = errors.New("exchange: invalid status line")
+	// errInvalidFraming reports a head that does not say reliably where its body ends.
+	errInvalidFraming = errors.New("exchange: invalid framing of the body")
 )
 
 // headLimiter reads from a connection. It limits the number of bytes while a head is being
@@ -59,6 +62,9 @@
 		if err := checkStatusLine(response); err != nil {
 			return nil, err
 		}
+		if err := checkFramingNames(response.Header); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -73,3 +79,16 @@
 	}
 	return nil
 }
+
+// checkFramingNames returns an error if a header that frames the body has space after its name:
+// net/http keeps such a header and frames the body without it.
+func checkFramingNames(h http.Header) error {
+	for name := range h {
+		switch http.CanonicalHeaderKey(strings.TrimRight(name, " ")) {
+		case name:
+		case "Content-Length", "Transfer-Encoding":
+			return fmt.Errorf("%w: header %q", errInvalidFraming, name)
+		}
+	}
+	return nil
+}
--- a/node/exchange/malformed_test.go
+++ b/node/exchange/malformed_test.go
@@ -78,6 +78,9 @@
 		"unknown coding before chunked": {"Transfer-Encoding: gzip, chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", ""},
 		"line without a name":           {": x\r\nContent-Length: 4\r\n", "body", ""},
 		"line without a colon":          {"Content-Length 4\r\nContent-Length: 4\r\n", "body", ""},
+		"length after a space":          {"Content-Length : 4\r\n", "bod", ""},
+		"coding after a space":          {"Transfer-Encoding : chunked\r\n", "4\r\nbody\r\n", ""},
+		"other name with a space":       {"X-Note : a\r\nContent-Length: 4\r\n", "body", "body"},
 	} {
 		_, body, err := exchangeRaw(t, "HTTP/1.1 200 OK\r\nId: a\r\n"+c.head+"\r\n"+c.body)
 		if c.want == "" && !errors.Is(err, ErrIncomplete) {
