exchange: chunks in an answer of HTTP/1.0 fail the response

A server that answered with HTTP/1.0 and Transfer-Encoding: chunked had its chunks, with their sizes, forwarded as the body, and a cut body taken for a whole one.

Cause: net/http drops the header under HTTP/1.0 and lets the body end with the connection. RFC 9112, section 6.1, has such a message treated as one of faulty framing. The head is looked at before it is parsed, for HTTP/1.0 only; of a head beyond the read buffer (4 KB) only the beginning.

TestChunksInHTTP10 failed before in all its cases. TestHeadInPieces passed before; heads in pieces, and heads that end in the middle, were not tested.

--- a/node/exchange/head.go
+++ b/node/exchange/head.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -17,6 +19,8 @@
 	maxStatus = 599
 )
 
+const versionHTTP10 = "HTTP/1.0"
+
 var (
 	errHeadTooLarge = fmt.Errorf("exchange: the head of a response has more than %d bytes", maxHeadBytes)
 	// errInvalidStatus reports a status line that begins no HTTP/1 response to a request.
@@ -52,6 +56,9 @@
 	c.head.active, c.head.left = true, maxHeadBytes
 	defer func() { c.head.active = false }()
 	for {
+		if codedHTTP10(c.reader) {
+			return nil, fmt.Errorf("%w: Transfer-Encoding in HTTP/1.0", errInvalidFraming)
+		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			if c.head.left <= 0 && !errors.Is(err, errHeadTooLarge) {
@@ -80,6 +87,30 @@
 	return nil
 }
 
+// codedHTTP10 reports whether the next head is one of HTTP/1.0 with a Transfer-Encoding, whose framing
+// is faulty (RFC 9112, section 6.1); net/http drops that header. Of a head that is longer than
+// the buffer it sees the beginning.
+func codedHTTP10(r *bufio.Reader) bool {
+	if version, err := r.Peek(len(versionHTTP10)); err != nil || string(version) != versionHTTP10 {
+		return false
+	}
+	for {
+		head, _ := r.Peek(r.Buffered())
+		for line := range bytes.Lines(head) {
+			if len(bytes.TrimRight(line, "\r\n")) == 0 {
+				return false
+			}
+			name, _, found := bytes.Cut(line, []byte(":"))
+			if found && strings.EqualFold(string(name), "Transfer-Encoding") {
+				return true
+			}
+		}
+		if _, err := r.Peek(len(head) + 1); err != nil {
+			return false
+		}
+	}
+}
+
 // checkFramingNames returns an error if a header that frames the body has space after its name:
 // net/http keeps such a header and frames the body without it.
 func checkFramingNames(h http.Header) error {
--- a/node/exchange/malformed_test.go
+++ b/node/exchange/malformed_test.go
@@ -7,13 +7,28 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // exchangeRaw sends a request to a server that answers with the bytes and closes the connection.
 func exchangeRaw(t *testing.T, answer string) (status int, body string, err error) {
+	t.Helper()
+	return exchangePieces(t, answer)
+}
+
+// pieceInterval is the time between two pieces of an answer.
+const pieceInterval = 2 * time.Millisecond
+
+// exchangePieces is exchangeRaw with an answer that comes in pieces.
+func exchangePieces(t *testing.T, pieces ...string) (status int, body string, err error) {
 	t.Helper()
 	s := newServer(t, func(c *net.TCPConn, _ *http.Request, _ int) bool {
-		fmt.Fprint(c, answer)
+		for i, piece := range pieces {
+			if i > 0 {
+				time.Sleep(pieceInterval)
+			}
+			fmt.Fprint(c, piece)
+		}
 		return false
 	})
 	p := NewPool(Options{})
@@ -47,6 +62,37 @@
 	}
 }
 
+// Guards against a head that comes in pieces being taken for another one, and against one that ends in its
+// middle being taken for a response.
+func TestHeadInPieces(t *testing.T) {
+	const answer = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\n"
+	for n := range len(answer) {
+		if status, body, err := exchangePieces(t, answer[:n], answer[n:]+"body"); err != nil || status != http.StatusOK || body != "body" {
+			t.Errorf("in pieces from byte %d: status %d, body %q, error %v", n, status, body, err)
+		}
+		if status, body, err := exchangePieces(t, answer[:n/2], answer[n/2:n]); !errors.Is(err, ErrIncomplete) {
+			t.Errorf("ended after byte %d: status %d, body %q, error %v", n, status, body, err)
+		}
+	}
+}
+
+// Guards against chunks in an answer of HTTP/1.0, which has none, reaching the caller with their sizes, also
+// if the head comes in pieces.
+func TestChunksInHTTP10(t *testing.T) {
+	const answer = "HTTP/1.0 200 OK\r\nId: a\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for _, n := range []int{0, 5, 20, 30, 50} {
+		status, body, err := exchangePieces(t, answer[:n], answer[n:])
+		if !errors.Is(err, ErrIncomplete) {
+			t.Errorf("in pieces from byte %d: status %d, body %q, error %v, want ErrIncomplete", n, status, body, err)
+		}
+	}
+	for _, whole := range []string{"HTTP/1.0 200 OK\r\nId: a\r\n\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.0 200 OK\nId: a\nContent-Length: 28\n\nTransfer-Encoding: chunked\r\n"} {
+		if _, body, err := exchangeRaw(t, whole); err != nil || body != "Transfer-Encoding: chunked\r\n" {
+			t.Errorf("%q: body %q, error %v", whole, body, err)
+		}
+	}
+}
+
 // Guards against a body whose framing is broken or contradicts itself being taken for a whole one, and
 // against what HTTP allows being refused.
 func TestFraming(t *testing.T) {
