exchange: the end of a broken connection is no end of a body without a length

A server answered a long upload at once with a 200 without a length, sent a part of its body and closed or reset the connection while the upload was still being written. The caller got that part as a complete answer (routes safe, once and stream), and an item of a job was listed as completed with a part of its text.

Cause: a long body is written beside the reading of the response. The kernel reports a reset or a timeout once; here the write got it, and the read that followed returned io.EOF, which ends a body without a length. The same after a FIN that a reset follows: reads return io.EOF whatever comes after the FIN.

Now io.EOF ends such a body only if the connection is in the state in which the other end has closed it, and the write has not failed; a success must also come from a server that has received the whole request. Errors that are sent before that pass as they are, also without a length. Bodies with a length or in chunks were never affected: they have an end of their own.

Not told apart: a server that has sent a FIN and whose kernel holds the rest of a request that it never reads; if it resets the connection later, the response has ended by then.

--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -57,6 +58,8 @@
 	// complete once the body was read to its end.
 	keepAlive bool
 	complete  bool
+	// endsByClose is set if the body ends with the connection.
+	endsByClose bool
 	// bodyWritten yields the outcome of writing the body of the request; nil if the body was
 	// written before the response was read.
 	bodyWritten <-chan error
@@ -140,7 +143,7 @@
 		}
 		return &Response{
 			Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, body: response.Body,
-			conn: c, pool: p, keepAlive: !response.Close && stale == 0, bodyWritten: bodyWritten, stopCancel: stopCancel, idleTimeout: idle,
+			conn: c, pool: p, keepAlive: !response.Close && stale == 0, endsByClose: endsByClose(response), bodyWritten: bodyWritten, stopCancel: stopCancel, idleTimeout: idle,
 		}, nil
 	}
 	stopCancel()
@@ -181,10 +184,13 @@
 // error wraps ErrIncomplete.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
+	if errors.Is(err, io.EOF) && !r.complete && r.endsByClose {
+		err = cmp.Or(r.checkEnd(), io.EOF)
+	}
 	switch {
 	case err == nil:
 		return n, nil
-	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.Is(err, io.EOF):
 		r.complete = true
 		return n, io.EOF
 	}
