client: a status that HTTP does not know is no answer

On the product's own interface a status 000 of the log, the directory or the weight store was taken for 200: an append counted as made. 099 and 101 of the log counted as a refusal without effect. Callers of plain services got 000, 099, 101, 600 and 999 as they were.

Cause: fasthttp reports a status 000 as 200, and net/http passes on any three digits. Now a status outside 200 to 599, or a version other than HTTP/1, is a call with an unknown outcome. For fasthttp, which does not show the status line, the bytes are checked as they are read; interim heads are skipped, and 101 is refused.

--- a/node/client/pool.go
+++ b/node/client/pool.go
@@ -130,6 +130,10 @@
 		return nil, err
 	}
 	x.resp = resp
+	if err := checkStatus(resp); err != nil {
+		x.close()
+		return nil, transportError(true, err)
+	}
 	x.resetGapTimer()
 	return x, nil
 }
--- a/node/client/unary.go
+++ b/node/client/unary.go
@@ -38,7 +38,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("%w: %w", errNotSent, err)
 			}
-			return newTrackedConn(c), nil
+			return &statusConn{Conn: newTrackedConn(c)}, nil
 		},
 		// By default fasthttp sends GET, HEAD and PUT up to five times when a
 		// pooled connection breaks, which would violate at-most-once delivery.
