client: a part of an answer without a length is no whole one

On the product's own interface a plain service or an engine that answered a long request at once without a length, and then closed, half closed or reset the connection, had that part returned as the whole answer.

Cause: as in node/exchange: net/http takes io.EOF for the end of such a body, also if the write of the request got the reset, a reset followed the FIN, or the request was never received. The connection now notes its state when it reads io.EOF and ends the writing; a body that ends so is whole only if the other end has closed the connection and, for a success, the request was written and acknowledged. Answers of an engine in JSON and streams were safe from cuts before, by their syntax and end marker, but not from an early end: {} is JSON.

The state of a connection moves from node/exchange to node/internal/tcpstate.

--- a/node/client/conn.go
+++ b/node/client/conn.go
@@ -1,10 +1,15 @@
 package client
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
+	"time"
+
+	"github.com/jacinthnotch/jacinthnotch/node/internal/tcpstate"
 )
 
 // trackedConn records whether a byte of a request can have been written, so that a
@@ -18,8 +23,21 @@
 	writesDisabled bool
 	// beforeRequest is true after a read until the next write, which starts a request.
 	beforeRequest bool
+	end           connectionEnd
+	// writeFailed is set once a write has failed.
+	writeFailed bool
 }
 
+// connectionEnd is how a connection ended.
+type connectionEnd uint8
+
+const (
+	notEnded  connectionEnd = iota
+	endClosed               // by the server, after it had received the request
+	endUnread               // by the server, before that
+	endFailed
+)
+
 func newTrackedConn(c net.Conn) *trackedConn { return &trackedConn{Conn: c, beforeRequest: true} }
 
 // Write writes b to the connection. Before the first write of a request it checks
@@ -40,6 +58,11 @@
 	c.writes++
 	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.mu.Lock()
+		c.writeFailed = true
+		c.mu.Unlock()
+	}
 	if err != nil && n == 0 && first {
 		c.mu.Lock()
 		c.writes--
@@ -56,9 +79,39 @@
 		c.beforeRequest = true
 		c.mu.Unlock()
 	}
+	if errors.Is(err, io.EOF) {
+		c.recordEnd()
+	}
 	return n, err
 }
 
+// recordEnd records how the connection ended, and ends the writing. The kernel reports a failure once, to a
+// read or a write: a read after it returns io.EOF, as after a FIN.
+func (c *trackedConn) recordEnd() {
+	state, known := tcpstate.Of(c.Conn)
+	c.mu.Lock()
+	switch {
+	case known && !state.ClosedByPeer:
+		c.end = endFailed
+	case state.Unacknowledged > 0:
+		c.end = endUnread
+	default:
+		c.end = endClosed
+	}
+	c.mu.Unlock()
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+}
+
+// endAfterRequest returns how the connection ended. The writing of the request must have ended.
+func (c *trackedConn) endAfterRequest() connectionEnd {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.end == endClosed && c.writeFailed {
+		return endUnread
+	}
+	return c.end
+}
+
 // writeCount returns the number of writes so far.
 func (c *trackedConn) writeCount() uint64 {
 	c.mu.Lock()
--- a/node/client/pool.go
+++ b/node/client/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -71,8 +72,10 @@
 
 // Causes with which the client itself cancels a request.
 var (
-	errRetried     = errors.New("client: net/http attempted to retry the request")
-	errCallTimeout = errors.New("client: call timeout")
+	errRetried          = errors.New("client: net/http attempted to retry the request")
+	errRequestUnread    = errors.New("client: the server closed the connection before it had received the request")
+	errConnectionFailed = errors.New("client: the connection failed and was not closed by the server")
+	errCallTimeout      = errors.New("client: call timeout")
 )
 
 // nonRewindableBody hides the type of the body from net/http, which retries a request
@@ -95,6 +98,10 @@
 	conn *trackedConn
 	// writesBefore is the write count of conn before the request.
 	writesBefore uint64
+	// writeEnded is closed once the writing of the request has ended, and requestWritten is set if all of
+	// it was written.
+	writeEnded     chan struct{}
+	requestWritten bool
 }
 
 // exchangeTimeouts are the header and gap timeouts of an exchange; zero means none.
@@ -108,7 +115,7 @@
 	if len(body) > p.opts.MaxBodyBytes || headerSize(req.Header) > p.opts.MaxHeaderBytes {
 		return nil, transportError(false, port.ErrTooLarge)
 	}
-	x := &exchange{pool: p, gap: timeouts.gap}
+	x := &exchange{pool: p, gap: timeouts.gap, writeEnded: make(chan struct{})}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	if err := ctx.Err(); err != nil {
 		x.close()
@@ -118,7 +125,7 @@
 	// servers such as fiber reuse the memory of request bodies.
 	body = bytes.Clone(body)
 	req.Body, req.GetBody, req.ContentLength = requestBody(req.Method, body), nil, int64(len(body))
-	trace := &httptrace.ClientTrace{GotConn: x.gotConn}
+	trace := &httptrace.ClientTrace{GotConn: x.gotConn, WroteRequest: x.wroteRequest}
 	req = req.WithContext(httptrace.WithClientTrace(x.ctx, trace))
 	if timeouts.header > 0 {
 		x.timer = p.opts.AfterFunc(timeouts.header, func() { x.cancel(port.ErrReadTimeout) })
@@ -199,9 +206,56 @@
 	if n > 0 {
 		x.resetGapTimer()
 	}
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(x.checkEnd(), err)
+	}
 	return n, err
 }
 
+func (x *exchange) wroteRequest(info httptrace.WroteRequestInfo) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.writeFinished() {
+		x.requestWritten = info.Err == nil
+		close(x.writeEnded)
+	}
+}
+
+func (x *exchange) writeFinished() bool {
+	select {
+	case <-x.writeEnded:
+		return true
+	default:
+		return false
+	}
+}
+
+// checkEnd returns an error if the end of the connection is not that of a body that ends with it. A success
+// is not the answer to a request that the server has not received; an error may be.
+func (x *exchange) checkEnd() error {
+	if x.resp.ContentLength >= 0 || len(x.resp.TransferEncoding) > 0 {
+		return nil
+	}
+	select {
+	case <-x.writeEnded:
+	case <-x.ctx.Done():
+		return context.Cause(x.ctx)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn == nil {
+		return nil
+	}
+	end := x.conn.endAfterRequest()
+	switch {
+	case end == endFailed:
+		return errConnectionFailed
+	case end != notEnded && x.resp.StatusCode < http.StatusMultipleChoices && (end == endUnread || !x.requestWritten):
+		return errRequestUnread
+	}
+	return nil
+}
+
 // readAll reads the rest of the body, which must not exceed limit bytes.
 func (x *exchange) readAll(limit int) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(x, int64(limit)+1))
--- a/node/exchange/end.go
+++ b/node/exchange/end.go
@@ -5,10 +5,9 @@
 	"fmt"
 	"net/http"
 	"os"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/tcpstate"
 )
 
 var (
@@ -16,9 +15,6 @@
 	errNotClosed     = errors.New("exchange: the connection failed and was not closed by the server")
 )
 
-// tcpCloseWait is the state of a connection that the other end has closed (TCP_CLOSE_WAIT of Linux).
-const tcpCloseWait = 8
-
 // endsByClose reports whether the body of a response ends with the connection.
 func endsByClose(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
 
@@ -27,12 +23,12 @@
 // The kernel reports the failure of a connection once, to a read or a write. A read after a write that
 // failed, or after a FIN that a reset followed, returns io.EOF.
 func (r *Response) checkEnd() error {
-	state, known := r.conn.socketState()
-	if known && state.tcp != tcpCloseWait {
+	state, known := tcpstate.Of(r.conn.Conn)
+	if known && !state.ClosedByPeer {
 		return errNotClosed
 	}
 	writeErr := r.endWrite()
-	unread := writeErr != nil || state.unacknowledged > 0
+	unread := writeErr != nil || state.Unacknowledged > 0
 	switch {
 	case writeErr != nil && !errors.Is(writeErr, os.ErrDeadlineExceeded):
 		return fmt.Errorf("%w: %w", errNotClosed, writeErr)
@@ -52,30 +48,3 @@
 	_ = r.conn.SetWriteDeadline(time.Unix(1, 0))
 	return <-r.bodyWritten
 }
-
-// socketState is the state of a TCP connection, and the number of bytes that were sent and not acknowledged.
-type socketState struct {
-	tcp            uint8
-	unacknowledged int
-}
-
-// socketState returns the state of the connection. It is not known for one that is no socket, or is closed.
-func (c *conn) socketState() (s socketState, known bool) {
-	source, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return s, false
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return s, false
-	}
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil {
-			return
-		}
-		s.tcp, known = info.State, true
-		s.unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-	})
-	return s, known && err == nil
-}
