client: a success of the log that is none of an append is no refusal

An append that the log answered with a 2xx other than 200, or a 3xx, counted as certainly not made. Every status below 500 was taken for a refusal; now the 4xx and 503 are.

TestOnlyRefusalsOfTheLogHaveNoEffect failed before on 201, 204 and 302.

--- a/node/client/log.go
+++ b/node/client/log.go
@@ -57,7 +57,7 @@
 		return *appended.Offset, nil
 	case resp.status == http.StatusRequestEntityTooLarge:
 		return 0, port.ErrTooLarge
-	case resp.status == http.StatusServiceUnavailable || resp.status < 500:
+	case resp.status == http.StatusServiceUnavailable || resp.status/100 == 4:
 		return 0, transportError(false, statusError(resp.status, resp.body, resp.retryAfter))
 	default:
 		return 0, transportError(true, statusError(resp.status, resp.body, resp.retryAfter))
--- a/node/client/malformed_test.go
+++ b/node/client/malformed_test.go
@@ -69,3 +69,19 @@
 		}
 	}
 }
+
+// Guards against an append that the log may have made being taken for one without effect, because its status
+// is no refusal.
+func TestOnlyRefusalsOfTheLogHaveNoEffect(t *testing.T) {
+	for status, want := range map[string]error{
+		"201": port.ErrOutcomeUnknown, "204": port.ErrOutcomeUnknown, "302": port.ErrOutcomeUnknown, "500": port.ErrOutcomeUnknown, "502": port.ErrOutcomeUnknown,
+		"404": port.ErrUnavailable, "429": port.ErrUnavailable, "503": port.ErrUnavailable, "413": port.ErrTooLarge,
+	} {
+		addr, _ := serveScript(t, func(int64, *http.Request) []byte {
+			return []byte("HTTP/1.1 " + status + " X\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		})
+		if err := adapterCalls["log append"](t, addr, nil); !errors.Is(err, want) {
+			t.Errorf("status %s: %v, want %v", status, err, want)
+		}
+	}
+}
