jobs: the age of the index counts from when the store made its response

Cause: Index took the arrival of a page for the time at which its state held. The store may have made the page long before: it waits for a slow link, or for a process that has no processor. With 400 ms on the way, state of up to 1.3 s counted as current, above the 0.9 s that maxStaleness allows.

The time of the state is now the earliest one at which the store can have made the response: that of the sending, or the end of the wait if the response has no records. It holds for any delay, since it does not depend on the arrival. A call that finds the state too old reads the index once, shared by all such calls, where it was refused before; it is refused as before while the store is away.

--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -12,6 +12,7 @@
 
 	"github.com/jacinthnotch/jacinthnotch/domain/joblog"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/coalesce"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/quota"
 )
@@ -31,7 +32,7 @@
 	maxRetryDelay = 300 * time.Millisecond
 	// maxStaleness is the age up to which the state derived from the index counts as
 	// current. A result that was read at one instance must be readable at all instances
-	// one second later.
+	// one second later, whenever the responses of the store arrive.
 	maxStaleness = 900 * time.Millisecond
 	// maxAppendRecords is the maximum number of records of one append.
 	maxAppendRecords = 256
@@ -51,9 +52,12 @@
 	mu      sync.Mutex
 	table   *joblog.Table
 	changed chan struct{}
-	// currentAt is the time of the last read that reached the end of the index.
+	// currentAt is the latest time at which the state is known to have been that of the whole
+	// index.
 	currentAt time.Time
 
+	refreshes coalesce.Group
+
 	admissions admissions
 
 	appends     chan *pendingAppend
@@ -115,6 +119,7 @@
 	x.mu.Lock()
 	from := x.table.Next()
 	x.mu.Unlock()
+	sentAt := time.Now()
 	page, err := x.store.Read(ctx, indexPartition, from, maxReadBytes, wait)
 	var expired *port.ExpiredError
 	if errors.As(err, &expired) {
@@ -134,7 +139,9 @@
 		x.table.Apply(now, r.Offset, r.Payload)
 	}
 	if atEnd = x.table.Next() >= page.End; atEnd {
-		x.currentAt = now
+		if madeAt := earliestAnswer(sentAt, now, wait, len(page.Records)); madeAt.After(x.currentAt) {
+			x.currentAt = madeAt
+		}
 		x.admissions.observe(now, x.table)
 	}
 	if len(page.Records) > 0 {
@@ -144,6 +151,16 @@
 	return len(page.Records), atEnd, nil
 }
 
+// earliestAnswer returns the earliest time at which the store may have made its response to a read. The
+// response may have been on its way, or waited for this process, for any part of the time until now. The
+// store holds a read without records open for the whole wait.
+func earliestAnswer(sentAt, now time.Time, wait time.Duration, records int) time.Time {
+	if heldUntil := sentAt.Add(wait); records == 0 && !heldUntil.After(now) {
+		return heldUntil
+	}
+	return sentAt
+}
+
 // Read calls f with the table of jobs, which f must not retain. It returns a channel that
 // is closed at the next change and whether the table is current.
 func (x *Index) Read(f func(*joblog.Table)) (changed <-chan struct{}, current bool) {
@@ -164,6 +181,11 @@
 	}
 }
 
+// Refresh is CatchUp for callers that share reads.
+func (x *Index) Refresh(ctx context.Context) error {
+	return x.refreshes.Do(ctx, storeReadTimeout, x.CatchUp)
+}
+
 // Append appends a record to the index. Concurrent calls share one append to the store.
 // The error is port.ErrUnavailable if nothing was written. After any other error the
 // record may have been written.
--- a/node/jobs/index_test.go
+++ b/node/jobs/index_test.go
@@ -62,3 +62,61 @@
 		}
 	})
 }
+
+// slowLink is a store that gets a record of the index every 150 ms and whose responses arrive a delay
+// after they were made.
+type slowLink struct {
+	port.Store
+	began time.Time
+	delay time.Duration
+}
+
+const slowLinkInterval = 150 * time.Millisecond
+
+func (s slowLink) recordsAt(t time.Time) int64 { return int64(t.Sub(s.began) / slowLinkInterval) }
+
+func (s slowLink) Read(ctx context.Context, _ port.Partition, from int64, _ int, wait time.Duration) (port.Page, error) {
+	for end := time.Now().Add(wait); s.recordsAt(time.Now()) <= from && time.Now().Before(end); {
+		clock.Sleep(ctx, time.Millisecond)
+	}
+	page := port.Page{End: s.recordsAt(time.Now())}
+	for offset := from; offset < page.End; offset++ {
+		page.Records = append(page.Records, port.Record{Offset: offset, Payload: []byte("unreadable")})
+	}
+	clock.Sleep(ctx, s.delay)
+	return page, ctx.Err()
+}
+
+// Guards against an instance that answers that a job has no result although another instance has shown
+// it more than a second ago, since it takes the arrival of a page for the time at which the page was made.
+func TestLatePagesDoNotCountAsCurrent(t *testing.T) {
+	const settleTime = time.Second
+	for _, delay := range []time.Duration{5 * time.Millisecond, 400 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			s := slowLink{began: time.Now(), delay: delay}
+			x := NewIndex(s)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go x.Follow(ctx)
+			time.Sleep(2 * time.Second)
+			stale, currentFor := 0, 0
+			for range 1000 {
+				time.Sleep(5 * time.Millisecond)
+				var next int64
+				_, current := x.Read(func(table *joblog.Table) { next = table.Next() })
+				if current {
+					currentFor++
+				}
+				if current && next < s.recordsAt(time.Now().Add(-settleTime)) {
+					stale++
+				}
+			}
+			if stale > 0 {
+				t.Errorf("delay %v: state older than %v counts as current in %d of %d samples", delay, settleTime, stale, currentFor)
+			}
+			if delay < 100*time.Millisecond && currentFor < 900 {
+				t.Errorf("delay %v: current in %d of 1000 samples only", delay, currentFor)
+			}
+		})
+	}
+}
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -17,6 +18,7 @@
 	"github.com/jacinthnotch/jacinthnotch/node/edge"
 	"github.com/jacinthnotch/jacinthnotch/node/gateway"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
+	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/pathselect"
 	"github.com/jacinthnotch/jacinthnotch/policy/quota"
 )
@@ -172,6 +174,19 @@
 	return job, nil
 }
 
+// errStoreAway is the error of a refresh while the store is known to be away.
+var errStoreAway = fmt.Errorf("%w: the last call failed", port.ErrUnavailable)
+
+// refresh reads the index up to its present end.
+func (s *Service) refresh(ctx context.Context) error {
+	if s.Index.storeHealth.unavailable(time.Now()) {
+		return errStoreAway
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+	defer cancel()
+	return s.Index.Refresh(ctx)
+}
+
 func (s *Service) handleSubmit(w http.ResponseWriter, r *http.Request, call Call, route *serving.Route) {
 	start := time.Now()
 	limit := int64(defaultMaxSubmissionBytes)
@@ -359,7 +374,7 @@
 func (s *Service) handleReadResults(w http.ResponseWriter, r *http.Request, call Call) {
 	deadline := time.NewTimer(call.Wait)
 	defer deadline.Stop()
-	for timedOut := false; ; {
+	for timedOut, refreshed := false, false; ; {
 		job, changed, current := s.lookUp(call.Job)
 		if job == nil || !job.AccessibleTo(call.Caller.Name()) {
 			if s.findJob(w, r, call) == nil {
@@ -373,9 +388,13 @@
 		}
 		complete := len(job.Results) == len(job.Items)
 		if complete || timedOut || call.Wait <= 0 || job.Ended {
-			if !current && !complete {
-				s.refuse(w, call, http.StatusServiceUnavailable, "not sure that there is no result", nil)
-				return
+			if !current && !complete && !refreshed {
+				if err := s.refresh(r.Context()); err != nil {
+					s.refuse(w, call, http.StatusServiceUnavailable, "not sure that there is no result", err)
+					return
+				}
+				timedOut, refreshed = true, true // what was read is newer than the call
+				continue
 			}
 			s.writeResults(w, r, call, job, nil)
 			return
