serve: a drain leaves the closing of idle connections to their readers

Callers saw: a request that an instance had read ended with its connection and no answer, in a planned stop.

Cause: the drain closed a connection that was idle by its own record, while its reader had received a whole request and had not recorded that yet. The class of fault: a decision on a state that another goroutine is about to change, where a starved process stretches the moment between.

The drain now wakes the reader with a read deadline. A reader that has received bytes, or for which the kernel holds some, goes on and gets the limits of the edge back; any other one reports the end of the connection.

--- a/node/serve/callers.go
+++ b/node/serve/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -11,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/jacinthnotch/jacinthnotch/node/edge"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 )
@@ -113,8 +116,8 @@
 	s.listener.acceptRest()
 }
 
-// Drain closes the listener and waits until all requests that were read, also in part, have
-// their responses, at most until ctx is done. It then closes the connections without a request.
+// Drain closes the listener, ends the connections without a request, and waits until all requests that
+// were read, also in part, have their responses, at most until ctx is done.
 func (s *callerServer) Drain(ctx context.Context) error {
 	s.CloseListener()
 	for s.listener.closeQuiet(time.Now()) > 0 {
@@ -138,6 +141,8 @@
 	closing atomic.Bool
 	// closed is closed once the listener is.
 	closed chan struct{}
+	// afterRead holds up the readers that have received bytes; nil outside tests.
+	afterRead atomic.Pointer[func()]
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -200,7 +205,7 @@
 	}
 }
 
-// closeQuiet closes the connections without a request, and returns the number of the others.
+// closeQuiet ends the connections without a request, and returns the number of those that are open.
 func (l *callerListener) closeQuiet(now time.Time) int {
 	l.mu.Lock()
 	conns := make([]*callerConn, 0, len(l.conns))
@@ -208,15 +213,10 @@
 		conns = append(conns, c)
 	}
 	l.mu.Unlock()
-	busy := 0
 	for _, c := range conns {
-		if c.isQuiet(now) {
-			_ = c.Close()
-		} else {
-			busy++
-		}
+		c.endIfQuiet(now)
 	}
-	return busy
+	return len(conns)
 }
 
 // callerConn is the connection of a caller.
@@ -230,17 +230,60 @@
 	// since the connection entered it.
 	state         http.ConnState
 	receivedSince bool
+	// ending is set once the connection ends unless bytes of a request have been received.
+	ending bool
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. On a connection that is ending it returns io.EOF, unless there are bytes of a
+// request.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.mu.Lock()
-		c.receivedSince = true
-		c.mu.Unlock()
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			if hold := c.listener.afterRead.Load(); hold != nil {
+				(*hold)()
+			}
+		}
+		goesOn, ends := c.recordRead(n, err)
+		switch {
+		case ends:
+			return 0, io.EOF
+		case n > 0 || !goesOn:
+			return n, err
+		}
+	}
+}
+
+// recordRead records the outcome of a read. It reports whether the connection goes on although it was
+// ending, and whether it ends.
+func (c *callerConn) recordRead(n int, err error) (goesOn, ends bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receivedSince = c.receivedSince || n > 0
+	if !c.ending {
+		return false, false
+	}
+	if n == 0 && !c.hasUnread() {
+		return false, errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	c.ending = false
+	_ = c.Conn.SetReadDeadline(time.Time{}) // the edge sets the limits in force
+	return true, false
+}
+
+// hasUnread reports whether the kernel holds bytes of the connection. A read does not return them once its
+// deadline has passed.
+func (c *callerConn) hasUnread() bool {
+	raw, err := c.Conn.SyscallConn()
+	if err != nil {
+		return false
 	}
-	return n, err
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
 }
 
 // Close implements net.Conn.
@@ -261,11 +304,20 @@
 	}
 }
 
-// isQuiet reports whether the connection carries no request, not even a part of one. A new
-// connection gets newConnTime for its first bytes.
-func (c *callerConn) isQuiet(now time.Time) bool {
+// endIfQuiet ends the connection if it carries no request, not even a part of one. It wakes the reader up
+// and leaves the closing to it, as it may have received bytes that are not recorded yet.
+func (c *callerConn) endIfQuiet(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isQuiet(now) {
+		c.ending = true
+		_ = c.Conn.SetReadDeadline(now)
+	}
+}
+
+// isQuiet reports whether no byte of a request was received. A new connection gets newConnTime for its
+// first bytes. The caller holds the lock.
+func (c *callerConn) isQuiet(now time.Time) bool {
 	switch c.state {
 	case http.StateNew:
 		return !c.receivedSince && now.Sub(c.openedAt) > newConnTime
--- a/node/serve/callers_test.go
+++ b/node/serve/callers_test.go
@@ -195,3 +195,56 @@
 		t.Error("a call that panicked succeeds")
 	}
 }
+
+// exchangeOnce sends raw and returns the status of the next response, or zero without one.
+func exchangeOnce(conn net.Conn, reader *bufio.Reader, raw string) int {
+	if _, err := io.WriteString(conn, raw); err != nil {
+		return 0
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+func dialCallers(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	return conn, bufio.NewReader(conn)
+}
+
+const getRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// Guards against a request that was read and is dropped without an answer, since the drain takes its
+// connection for an idle one while the reader waits for a processor.
+func TestDrainSparesARequestThatWasJustRead(t *testing.T) {
+	s, address := startCallers(t, 0)
+	conn, reader := dialCallers(t, address)
+	if code := exchangeOnce(conn, reader, getRequest); code != http.StatusOK {
+		t.Fatalf("first request: %d", code)
+	}
+	time.Sleep(50 * time.Millisecond) // the reader waits for the next request
+	read, goOn := make(chan struct{}), make(chan struct{})
+	afterRead := func() { read <- struct{}{}; <-goOn }
+	s.listener.afterRead.Store(&afterRead)
+	answer, drained := make(chan int, 1), make(chan error, 1)
+	go func() { answer <- exchangeOnce(conn, reader, getRequest) }()
+	<-read
+	s.listener.afterRead.Store(nil)
+	go func() { drained <- s.Drain(t.Context()) }()
+	time.Sleep(2 * maxBacklogTime)
+	close(goOn)
+	if code := <-answer; code != http.StatusOK {
+		t.Errorf("the request that was read got status %d", code)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
