serve: a drain spares a request whose first byte came early

Callers saw: a request on a kept connection, part of which an instance had read, was cut off by its drain.

Cause: net/http reads a byte of the next request while a response is written. callerConn forgot it when the connection became idle after that response, so that the drain took the connection for one without a request.

Evidence: TestDrainSparesARequestThatBeganEarly failed in 8 of 8 runs on the code before and holds in 5 of 5 now.

The scanner of the edge knows that a request has begun, whichever state the connection was in; the drain asks it.

--- a/node/edge/conn.go
+++ b/node/edge/conn.go
@@ -200,13 +200,14 @@
 // refusePressure refuses a request, of which the head has arrived in part, with a status that
 // promises that it has not run. The reader of a body does so itself.
 func (c *Conn) refusePressure() error {
-	if !c.http || http.ConnState(c.state.Load()) == http.StateActive || !c.hasReceived() {
+	if !c.http || http.ConnState(c.state.Load()) == http.StateActive || !c.HasReceived() {
 		return readError(ErrPressure)
 	}
 	return c.refuse(http.StatusServiceUnavailable, ErrPressure)
 }
 
-func (c *Conn) hasReceived() bool {
+// HasReceived reports whether a part of a request has arrived that has not arrived in full.
+func (c *Conn) HasReceived() bool {
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
 	return c.scanner.Started()
--- a/node/serve/callers.go
+++ b/node/serve/callers.go
@@ -322,7 +322,8 @@
 	case http.StateNew:
 		return !c.receivedSince && now.Sub(c.openedAt) > newConnTime
 	case http.StateIdle:
-		return !c.receivedSince
+		// net/http may have read a byte before the connection was idle.
+		return !c.receivedSince && !c.Conn.HasReceived()
 	}
 	return false
 }
--- a/node/serve/callers_test.go
+++ b/node/serve/callers_test.go
@@ -248,3 +248,29 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a request that is dropped since its first bytes came before the connection was idle: net/http
+// reads a byte of the next request while the response to the one before is written.
+func TestDrainSparesARequestThatBeganEarly(t *testing.T) {
+	s, address := startCallers(t, 100*time.Millisecond)
+	conn, reader := dialCallers(t, address)
+	if _, err := io.WriteString(conn, getRequest); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // the request runs
+	if _, err := io.WriteString(conn, getRequest[:1]); err != nil {
+		t.Fatal(err)
+	}
+	if code := exchangeOnce(conn, reader, ""); code != http.StatusOK {
+		t.Fatalf("first request: %d", code)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(t.Context()) }()
+	time.Sleep(2 * maxBacklogTime)
+	if code := exchangeOnce(conn, reader, getRequest[1:]); code != http.StatusOK {
+		t.Errorf("the request whose first byte was read early got status %d", code)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
