serve: a listener that closes empties its queue first

Callers saw: requests on connections opened at the last moment before a planned stop were reset.

Cause: a passed deadline makes Accept fail although connections wait. The listener took the failure for an empty queue, and was closed 5 ms after the last connection if the process had no processor meanwhile, or 100 ms after the start in any case.

The listener closes once its queue is empty, for which it now asks the kernel. The limit of 400 ms ends a queue that never becomes empty, still within the time in which the load balancer may send connections.

--- a/node/serve/callers.go
+++ b/node/serve/callers.go
@@ -32,7 +32,7 @@
 	// maxBacklogTime the time after which it closes at the latest. The kernel resets the
 	// connections that still wait in the listen queue then.
 	backlogPause   = 5 * time.Millisecond
-	maxBacklogTime = 100 * time.Millisecond
+	maxBacklogTime = 400 * time.Millisecond
 	// newConnTime is the time that a new connection has for the first bytes of a request
 	// while the server drains.
 	newConnTime = time.Second
@@ -182,6 +182,9 @@
 			l.conns[c] = struct{}{}
 			l.mu.Unlock()
 			return c, nil
+		case l.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded) && l.hasQueued():
+			// This process had no processor while the deadline passed.
+			_ = l.SetDeadline(time.Now().Add(backlogPause))
 		case l.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded):
 			_ = l.TCPListener.Close() // a second close has no effect
 			close(l.closed)
@@ -192,6 +195,19 @@
 	}
 }
 
+// hasQueued reports whether a connection waits in the listen queue.
+func (l *callerListener) hasQueued() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	err = raw.Control(func(fd uintptr) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && ready > 0
+}
+
 // acceptRest makes Accept return what waits in the queue and then close the listener. It
 // returns when that is done, or after maxBacklogTime.
 func (l *callerListener) acceptRest() {
--- a/node/serve/callers_test.go
+++ b/node/serve/callers_test.go
@@ -239,7 +239,8 @@
 	<-read
 	s.listener.afterRead.Store(nil)
 	go func() { drained <- s.Drain(t.Context()) }()
-	time.Sleep(2 * maxBacklogTime)
+	<-s.listener.closed
+	time.Sleep(5 * drainPollInterval)
 	close(goOn)
 	if code := <-answer; code != http.StatusOK {
 		t.Errorf("the request that was read got status %d", code)
@@ -266,7 +267,8 @@
 	}
 	drained := make(chan error, 1)
 	go func() { drained <- s.Drain(t.Context()) }()
-	time.Sleep(2 * maxBacklogTime)
+	<-s.listener.closed
+	time.Sleep(5 * drainPollInterval)
 	if code := exchangeOnce(conn, reader, getRequest[1:]); code != http.StatusOK {
 		t.Errorf("the request whose first byte was read early got status %d", code)
 	}
@@ -274,3 +276,34 @@
 		t.Error(err)
 	}
 }
+
+// Guards against connections that are reset in the listen queue, since the instance got no processor while
+// the listener waited for another one.
+func TestCloseListenerEmptiesItsQueue(t *testing.T) {
+	const queued = 3
+	s := newCallerServer(http.NotFoundHandler(), nil)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.listener.set(l.(*net.TCPListener))
+	for range queued {
+		dialCallers(t, l.Addr().String())
+	}
+	closed := make(chan struct{})
+	go func() { defer close(closed); s.CloseListener() }()
+	time.Sleep(4 * backlogPause) // nothing is accepted
+	accepted := 0
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			break
+		}
+		accepted++
+		_ = conn.Close()
+	}
+	<-closed
+	if accepted != queued {
+		t.Errorf("%d of %d connections were accepted", accepted, queued)
+	}
+}
