edge: pressure spares a request that is complete and not yet served

Callers saw: a request that was passed on to a server ended with its connection and no answer, if the account of the connections was full at that moment.

Cause: the account may end connections that are not active. Between the read of the end of a request and the call of ConnState the connection still counts as idle or new. It got a read deadline in the past, which the background read of net/http takes for a caller that has left, so that the request was cancelled at the server.

Evidence: TestPressureSparesCompleteRequests failed on the code before in both of its cases and holds now.

The scanner knows that a request has arrived in full until the response is complete; such a connection may not be ended, whatever its state.

--- a/node/edge/conn.go
+++ b/node/edge/conn.go
@@ -101,7 +101,8 @@
 	case !c.blockedSince.IsZero():
 		return now.Sub(c.blockedSince) >= blockedWriteTime
 	}
-	return !c.http || c.arriving || http.ConnState(c.state.Load()) != http.StateActive
+	// A complete request may be on its way to the handler before the state tells.
+	return !c.http || !c.scanner.HasComplete() && (c.arriving || http.ConnState(c.state.Load()) != http.StateActive)
 }
 
 // before reports whether the connection is ended before other if there are too many: those
--- a/node/edge/conn_test.go
+++ b/node/edge/conn_test.go
@@ -199,3 +199,57 @@
 		return used == 0 && conns == 0 && account.ending == 0
 	})
 }
+
+// readHere returns the account's connection to a client that has sent raw, once it has been read here, as
+// by a server that is not told yet that the request is complete.
+func readHere(t *testing.T, account *Account, raw string) (*Conn, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, _ := dial(t, l.Addr().String(), raw)
+	tcp, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := account.Open(tcp.(*net.TCPConn), true, func() Limits { return Limits{} })
+	if c == nil {
+		t.Fatal("the connection is not taken")
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	for n := 0; n < len(raw); {
+		read, err := c.Read(make([]byte, len(raw)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n += read
+	}
+	return c, client
+}
+
+// Guards against a request that is passed on and gets no answer, since its connection is ended to make room
+// after the request was read and before its handler began.
+func TestPressureSparesCompleteRequests(t *testing.T) {
+	for name, raw := range map[string]string{"without body": get + "\r\n", "with body": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"} {
+		t.Run(name, func(t *testing.T) {
+			account := NewAccount("test", 1<<20, 1)
+			c, _ := readHere(t, account, raw)
+			account.mu.Lock()
+			mayEnd := c.mayEnd(time.Now())
+			account.mu.Unlock()
+			if mayEnd {
+				t.Error("a connection with a complete request may be ended")
+			}
+			c.Record(http.StateActive)
+			c.Record(http.StateIdle)
+			account.mu.Lock()
+			mayEnd = c.mayEnd(time.Now())
+			account.mu.Unlock()
+			if !mayEnd {
+				t.Error("a connection without a request may not be ended")
+			}
+		})
+	}
+}
--- a/node/edge/scanner.go
+++ b/node/edge/scanner.go
@@ -268,6 +268,9 @@
 // Release releases what the requests before the current one took.
 func (s *Scanner) Release() { s.served = 0 }
 
+// HasComplete reports whether a request has arrived in full that is not released.
+func (s *Scanner) HasComplete() bool { return s.served > 0 }
+
 // ExceedsHead reports whether the request line or the header lines are longer than limit bytes, in
 // the request that the last Scan was about.
 func (s *Scanner) ExceedsHead(limit int) bool {
