edge: a request that was read in full gets a refusal from a connection that ends

Callers saw: a request that an instance had read ended with its connection and no answer, if the connection was chosen to end for want of memory while it was read.

Cause: the refusal went to requests of which a part had arrived. After its last byte the scanner expects the next request, so that a complete one counted as none.

503 promises that the request has not run, which holds: it does not reach its handler.

--- a/node/edge/conn.go
+++ b/node/edge/conn.go
@@ -198,10 +198,10 @@
 	return c.ending
 }
 
-// refusePressure refuses a request, of which the head has arrived in part, with a status that
+// refusePressure refuses a request, of which the head has arrived in part or in full, with a status that
 // promises that it has not run. The reader of a body does so itself.
 func (c *Conn) refusePressure() error {
-	if !c.http || http.ConnState(c.state.Load()) == http.StateActive || !c.HasReceived() {
+	if !c.http || http.ConnState(c.state.Load()) == http.StateActive || !c.holdsRequest() {
 		return readError(ErrPressure)
 	}
 	return c.refuse(http.StatusServiceUnavailable, ErrPressure)
@@ -214,6 +214,13 @@
 	return c.scanner.Started()
 }
 
+// holdsRequest reports whether a part of a request, or all of one, has arrived that is not answered.
+func (c *Conn) holdsRequest() bool {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	return c.scanner.Started() || c.scanner.HasComplete()
+}
+
 // refuse answers a head that has arrived in part and ends the connection.
 func (c *Conn) refuse(status int, err error) error {
 	c.refused.Store(true)
--- a/node/edge/conn_test.go
+++ b/node/edge/conn_test.go
@@ -253,3 +253,24 @@
 		})
 	}
 }
+
+// Guards against a request that was read in full and gets no answer, since its connection was chosen to end
+// while it was read.
+func TestPressureRefusesWhatItEnds(t *testing.T) {
+	account := NewAccount("test", 1<<20, 1)
+	c, client := readHere(t, account, get+"\r\n")
+	c.Record(http.StateActive)
+	c.Record(http.StateIdle)
+	// Pending bytes are read whatever the deadline, as those are that a reader has just received.
+	c.pending = []byte(get + "\r\n")
+	account.mu.Lock()
+	account.end(c)
+	account.mu.Unlock()
+	if n, err := c.Read(make([]byte, 1<<10)); err == nil {
+		t.Errorf("%d bytes are served", n)
+	}
+	_ = c.Close()
+	if got := status(bufio.NewReader(client)); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", got)
+	}
+}
