edge: two handlers that ask for the last memory end no served request

Callers saw: a request was cancelled at its server and its connection closed with no answer, when the account of the connections was nearly full and two responses were buffered at the same time.

Cause: hold asked whether the account is full and then took the lock again to take the memory. If another handler took it in between, resize had to make room and could choose the connection of the handler itself.

The question and the taking now happen under one lock, so that Hold refuses instead.

--- a/node/edge/account.go
+++ b/node/edge/account.go
@@ -132,6 +132,11 @@
 func (a *Account) resize(c *Conn, to int, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.resizeLocked(c, to, now)
+}
+
+// resizeLocked is resize for a caller that holds the lock.
+func (a *Account) resizeLocked(c *Conn, to int, now time.Time) bool {
 	if c.removed {
 		return false
 	}
--- a/node/edge/conn.go
+++ b/node/edge/conn.go
@@ -255,26 +255,16 @@
 // Hold counts further bytes that the handler of the current request holds, until the response is
 // complete. It returns false if they do not fit.
 func (c *Conn) Hold(n int) bool {
-	c.account.mu.Lock()
-	to := c.held + n
-	c.account.mu.Unlock()
-	if !c.account.hold(c, to, time.Now()) {
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.used-a.ending+n > a.limit || !a.resizeLocked(c, c.held+n, time.Now()) {
 		return false
 	}
-	c.account.mu.Lock()
 	c.extra += n
-	c.account.mu.Unlock()
 	return true
 }
 
-// hold is resize for a connection that goes on if the account is full.
-func (a *Account) hold(c *Conn, to int, now time.Time) bool {
-	a.mu.Lock()
-	full := a.used-a.ending+to-c.held > a.limit
-	a.mu.Unlock()
-	return !full && a.resize(c, to, now)
-}
-
 // Lost reports whether the connection has to end with the next response, because the length of
 // the request is not known.
 func (c *Conn) Lost() bool { return c.lost.Load() }
--- a/node/edge/conn_test.go
+++ b/node/edge/conn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -274,3 +275,32 @@
 		t.Errorf("status %d, want 503", got)
 	}
 }
+
+// Guards against a request that is cancelled while it is served, since its connection is chosen to end when two
+// handlers ask for the last memory of the account at the same time.
+func TestHoldEndsNoServedRequest(t *testing.T) {
+	const conns, rounds, limit = 8, 20_000, 1 << 20
+	account := NewAccount("test", limit, conns)
+	var served []*Conn
+	for range conns {
+		c, _ := readHere(t, account, get+"\r\n")
+		c.Record(http.StateActive)
+		served = append(served, c)
+	}
+	for range rounds {
+		var wait sync.WaitGroup
+		start := make(chan struct{})
+		for _, c := range served {
+			wait.Go(func() { <-start; c.Hold(limit / 2) })
+		}
+		close(start)
+		wait.Wait()
+		for _, c := range served {
+			if c.isEnding() {
+				t.Fatal("a connection whose request is served ends")
+			}
+			c.Record(http.StateIdle)
+			c.Record(http.StateActive)
+		}
+	}
+}
