gateway: a stream returns to its silent server if no other one has room

Callers saw: a resumable stream was broken off at its deadline although its server was sound and had only been silent for a moment.

Cause: a begun stream leaves a server that is silent for longer than the gap timeout while another server is registered, however loaded that one is. If the others then refuse, it asked only these again until the deadline. The server that it had left counted as tried for good.

A stream that has begun and waits for servers now asks the silent one again as well, after the last event that was forwarded.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -102,10 +102,10 @@
 	// origin is where the stream began, once an event was forwarded or if the caller takes a
 	// stream up.
 	origin streamOrigin
-	// tried holds the IDs of the servers that were sent the request, and notRunAt those among them
-	// that did not run it.
-	tried    map[string]bool
-	notRunAt []string
+	// tried holds the IDs of the servers that were sent the request, and mayAskAgain those among them
+	// that did not run it or fell silent.
+	tried       map[string]bool
+	mayAskAgain []string
 	// waitsSince is when a stream that has begun first waited for a server to go on; zero if it
 	// has not.
 	waitsSince time.Time
@@ -221,7 +221,7 @@
 		result := c.attempt(ctx, lease)
 		if result == notRun {
 			c.notRunCount++
-			c.notRunAt = append(c.notRunAt, lease.Server.ID)
+			c.mayAskAgain = append(c.mayAskAgain, lease.Server.ID)
 		}
 		switch {
 		case result == delivered:
@@ -250,8 +250,8 @@
 	}
 }
 
-// awaitServers waits until the servers that did not run the request may be asked again, if the
-// response has begun. It returns false if the stream has to be given up: it breaks off for its
+// awaitServers waits until the servers that did not run the request or fell silent may be asked again, if
+// the response has begun. It returns false if the stream has to be given up: it breaks off for its
 // caller, which is worse than a delay.
 func (c *call) awaitServers(ctx context.Context) bool {
 	if !c.headerWritten || c.incoming.Context().Err() != nil || c.deadlineReached() {
@@ -264,10 +264,10 @@
 		return false
 	}
 	clock.Sleep(ctx, begunRetryDelay+rand.N(begunRetryDelay))
-	for _, server := range c.notRunAt {
+	for _, server := range c.mayAskAgain {
 		delete(c.tried, server)
 	}
-	c.notRunAt = c.notRunAt[:0]
+	c.mayAskAgain = c.mayAskAgain[:0]
 	return ctx.Err() == nil
 }
 
@@ -465,6 +465,9 @@
 	switch {
 	case errors.Is(cause, errServerTimeout), cause == nil:
 		lease.End(balance.Unreachable)
+		if cause != nil {
+			c.mayAskAgain = append(c.mayAskAgain, lease.Server.ID)
+		}
 		if !errors.Is(err, exchange.ErrNotSent) {
 			c.gateway.Pool.CloseIdle(lease.Server.Address)
 			if cause == nil {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -155,6 +156,33 @@
 	}
 }
 
+// Guards against a stream that is broken off since its sound server was silent for a moment and no other
+// server has room.
+func TestBegunStreamReturnsToItsSilentServer(t *testing.T) {
+	var first atomic.Value
+	route := streamRoute(true)
+	route.GapObjective = 50 * time.Millisecond
+	f := newFleet(t, 2, route, func(c net.Conn, r *http.Request, n int) {
+		server := r.Header.Get("Expect-Server")
+		switch {
+		case n == 0:
+			first.Store(server)
+			fmt.Fprintf(c, streamHead, "first")
+			fmt.Fprint(c, chunk(event(1)))
+			time.Sleep(2 * minGapTimeout)
+			fmt.Fprint(c, chunk(event(2)), endOfStream)
+		case server != first.Load():
+			fmt.Fprint(c, fullResponse(http.StatusServiceUnavailable, "full", "Refused", "1"))
+		default:
+			fmt.Fprintf(c, streamHead, "second")
+			fmt.Fprint(c, chunk(event(2)), endOfStream)
+		}
+	})
+	if _, body, err := f.send(t, "Patience", "3000"); err != nil || body != event(1)+event(2) {
+		t.Fatalf("%q %v after %d sends", body, err, f.count())
+	}
+}
+
 // Guards against a broken stream that cannot be continued looking complete to its caller.
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	f := newFleet(t, 3, streamRoute(false), func(c net.Conn, _ *http.Request, _ int) { sendTruncatedStream(c, 2) })
