--- a/node/edge/conn.go
+++ b/node/edge/conn.go
@@ -101,7 +101,8 @@
 	case !c.blockedSince.IsZero():
 		return now.Sub(c.blockedSince) >= blockedWriteTime
 	}
-	return !c.http || c.arriving || http.ConnState(c.state.Load()) != http.StateActive
+	// A complete request may be on its way to the handler before the state tells.
+	return !c.http || !c.scanner.HasComplete() && (c.arriving || http.ConnState(c.state.Load()) != http.StateActive)
 }
 
 // before reports whether the connection is ended before other if there are too many: those
@@ -197,21 +198,29 @@
 	return c.ending
 }
 
-// refusePressure refuses a request, of which the head has arrived in part, with a status that
+// refusePressure refuses a request, of which the head has arrived in part or in full, with a status that
 // promises that it has not run. The reader of a body does so itself.
 func (c *Conn) refusePressure() error {
-	if !c.http || http.ConnState(c.state.Load()) == http.StateActive || !c.hasReceived() {
+	if !c.http || http.ConnState(c.state.Load()) == http.StateActive || !c.holdsRequest() {
 		return readError(ErrPressure)
 	}
 	return c.refuse(http.StatusServiceUnavailable, ErrPressure)
 }
 
-func (c *Conn) hasReceived() bool {
+// HasReceived reports whether a part of a request has arrived that has not arrived in full.
+func (c *Conn) HasReceived() bool {
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
 	return c.scanner.Started()
 }
 
+// holdsRequest reports whether a part of a request, or all of one, has arrived that is not answered.
+func (c *Conn) holdsRequest() bool {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	return c.scanner.Started() || c.scanner.HasComplete()
+}
+
 // refuse answers a head that has arrived in part and ends the connection.
 func (c *Conn) refuse(status int, err error) error {
 	c.refused.Store(true)
@@ -246,26 +255,16 @@
 // Hold counts further bytes that the handler of the current request holds, until the response is
 // complete. It returns false if they do not fit.
 func (c *Conn) Hold(n int) bool {
-	c.account.mu.Lock()
-	to := c.held + n
-	c.account.mu.Unlock()
-	if !c.account.hold(c, to, time.Now()) {
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.used-a.ending+n > a.limit || !a.resizeLocked(c, c.held+n, time.Now()) {
 		return false
 	}
-	c.account.mu.Lock()
 	c.extra += n
-	c.account.mu.Unlock()
 	return true
 }
 
-// hold is resize for a connection that goes on if the account is full.
-func (a *Account) hold(c *Conn, to int, now time.Time) bool {
-	a.mu.Lock()
-	full := a.used-a.ending+to-c.held > a.limit
-	a.mu.Unlock()
-	return !full && a.resize(c, to, now)
-}
-
 // Lost reports whether the connection has to end with the next response, because the length of
 // the request is not known.
 func (c *Conn) Lost() bool { return c.lost.Load() }
--- a/node/serve/callers_test.go
+++ b/node/serve/callers_test.go
@@ -195,3 +195,115 @@
 		t.Error("a call that panicked succeeds")
 	}
 }
+
+// exchangeOnce sends raw and returns the status of the next response, or zero without one.
+func exchangeOnce(conn net.Conn, reader *bufio.Reader, raw string) int {
+	if _, err := io.WriteString(conn, raw); err != nil {
+		return 0
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+func dialCallers(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	return conn, bufio.NewReader(conn)
+}
+
+const getRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// Guards against a request that was read and is dropped without an answer, since the drain takes its
+// connection for an idle one while the reader waits for a processor.
+func TestDrainSparesARequestThatWasJustRead(t *testing.T) {
+	s, address := startCallers(t, 0)
+	conn, reader := dialCallers(t, address)
+	if code := exchangeOnce(conn, reader, getRequest); code != http.StatusOK {
+		t.Fatalf("first request: %d", code)
+	}
+	time.Sleep(50 * time.Millisecond) // the reader waits for the next request
+	read, goOn := make(chan struct{}), make(chan struct{})
+	afterRead := func() { read <- struct{}{}; <-goOn }
+	s.listener.afterRead.Store(&afterRead)
+	answer, drained := make(chan int, 1), make(chan error, 1)
+	go func() { answer <- exchangeOnce(conn, reader, getRequest) }()
+	<-read
+	s.listener.afterRead.Store(nil)
+	go func() { drained <- s.Drain(t.Context()) }()
+	<-s.listener.closed
+	time.Sleep(5 * drainPollInterval)
+	close(goOn)
+	if code := <-answer; code != http.StatusOK {
+		t.Errorf("the request that was read got status %d", code)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a request that is dropped since its first bytes came before the connection was idle: net/http
+// reads a byte of the next request while the response to the one before is written.
+func TestDrainSparesARequestThatBeganEarly(t *testing.T) {
+	s, address := startCallers(t, 100*time.Millisecond)
+	conn, reader := dialCallers(t, address)
+	if _, err := io.WriteString(conn, getRequest); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // the request runs
+	if _, err := io.WriteString(conn, getRequest[:1]); err != nil {
+		t.Fatal(err)
+	}
+	if code := exchangeOnce(conn, reader, ""); code != http.StatusOK {
+		t.Fatalf("first request: %d", code)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(t.Context()) }()
+	<-s.listener.closed
+	time.Sleep(5 * drainPollInterval)
+	if code := exchangeOnce(conn, reader, getRequest[1:]); code != http.StatusOK {
+		t.Errorf("the request whose first byte was read early got status %d", code)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against connections that are reset in the listen queue, since the instance got no processor while
+// the listener waited for another one.
+func TestCloseListenerEmptiesItsQueue(t *testing.T) {
+	const queued = 3
+	s := newCallerServer(http.NotFoundHandler(), nil)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.listener.set(l.(*net.TCPListener))
+	for range queued {
+		dialCallers(t, l.Addr().String())
+	}
+	closed := make(chan struct{})
+	go func() { defer close(closed); s.CloseListener() }()
+	time.Sleep(4 * backlogPause) // nothing is accepted
+	accepted := 0
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			break
+		}
+		accepted++
+		_ = conn.Close()
+	}
+	<-closed
+	if accepted != queued {
+		t.Errorf("%d of %d connections were accepted", accepted, queued)
+	}
+}
