takeover: instances that are behind do not claim jobs

Cause: an instance claims a job of a lost holder a second later than the one that ranks before it, in which it is to read that one's claim. The claims go to the one partition that all instances read, which takes 250 appends a second, and delayed the records that all of them waited for. Change: an instance whose state of the index is older than 2 s claims nothing, and counts the time of a job without a holder anew once it is up to date.

--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -38,6 +38,9 @@
 	// current. A result that was read at one instance must be readable at all instances
 	// one second later, whenever the responses of the store arrive.
 	maxStaleness = 900 * time.Millisecond
+	// maxClaimStaleness is the age of that state above which other instances may have claimed jobs
+	// without this one knowing.
+	maxClaimStaleness = 2 * time.Second
 	// maxAppendRecords is the maximum number of records of one append.
 	maxAppendRecords = 256
 	// jobRetention is the time after its last record for which a job that is not open is
@@ -196,6 +199,13 @@
 	return x.changed, !x.currentAt.IsZero() && time.Since(x.currentAt) < maxStaleness
 }
 
+// Behind reports whether the claims of other instances may not be known.
+func (x *Index) Behind() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.currentAt.IsZero() || time.Since(x.currentAt) > maxClaimStaleness
+}
+
 // CatchUp reads the index up to its present end and applies the records. It does not depend on
 // Follow.
 func (x *Index) CatchUp(ctx context.Context) error {
--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -189,8 +189,10 @@
 func (r *Runner) schedule(ctx context.Context) {
 	now := time.Now()
 	alive := r.Members.Alive()
+	behind := r.Index.Behind()
 	jobs := r.snapshot()
 	r.mu.Lock()
+	r.takeovers.SetBehind(behind)
 	for _, claim := range r.update(now, jobs, alive) {
 		r.runs.Go(func() { guard.Run("claim of a job", func() { r.writeClaim(ctx, claim) }) })
 	}
--- a/policy/takeover/takeover.go
+++ b/policy/takeover/takeover.go
@@ -53,6 +53,8 @@
 	withoutHolderSince map[string]time.Time
 	// claimedAt holds, by job, the time of this instance's last claim.
 	claimedAt map[string]time.Time
+	// behind is set while this instance does not know the latest claims.
+	behind bool
 }
 
 // NewTable returns the table of an instance that started at the given time.
@@ -60,6 +62,16 @@
 	return &Table{self: self, started: started, withoutHolderSince: map[string]time.Time{}, claimedAt: map[string]time.Time{}}
 }
 
+// SetBehind records whether this instance may lack claims of others, because it does not read their records
+// in time. While it is behind it makes no claims: others may have claimed the jobs long ago, and void
+// claims of many instances delay the records that all of them wait for. The delays begin anew afterwards.
+func (t *Table) SetBehind(behind bool) {
+	t.behind = behind
+	if behind {
+		clear(t.withoutHolderSince)
+	}
+}
+
 // Decide returns what to do with an open job. The map alive holds, by name, the
 // incarnations of the other instances that are alive and not draining.
 func (t *Table) Decide(now time.Time, job string, holder joblog.Holder, alive map[string]uint32) Decision {
@@ -71,7 +83,7 @@
 		delete(t.withoutHolderSince, job)
 		return Skip
 	}
-	if now.Sub(t.claimedAt[job]) < claimRetryInterval || !t.mayClaim(now, job, holder, alive) {
+	if t.behind || now.Sub(t.claimedAt[job]) < claimRetryInterval || !t.mayClaim(now, job, holder, alive) {
 		return Skip
 	}
 	t.claimedAt[job] = now
--- a/policy/takeover/takeover_test.go
+++ b/policy/takeover/takeover_test.go
@@ -12,8 +12,10 @@
 
 const (
 	tickInterval = 40 * time.Millisecond
-	// readDelay is the time until all instances have read a new record.
-	readDelay = 800 * time.Millisecond
+	// defaultReadDelay is the time until all instances have read a new record in calm, and
+	// maxReadDelay the one above which they know that they are behind.
+	defaultReadDelay = 800 * time.Millisecond
+	maxReadDelay     = 2 * time.Second
 )
 
 // fleet simulates instances that decide at each tick about one job and read each other's
@@ -28,12 +30,14 @@
 	holder        joblog.Holder
 	visibleHolder joblog.Holder
 	visibleAt     time.Time
+	// readDelay is the time until all instances have read a new record.
+	readDelay time.Duration
 	// claims counts all claims, also those that came too late.
 	claims int
 }
 
 func newFleet(t *testing.T, size int) *fleet {
-	f := &fleet{t: t, now: epoch, tables: map[string]*Table{}, alive: map[string]uint32{}}
+	f := &fleet{t: t, now: epoch, tables: map[string]*Table{}, alive: map[string]uint32{}, readDelay: defaultReadDelay}
 	for i := range size {
 		f.start(fmt.Sprint("i", i), 1)
 	}
@@ -71,12 +75,15 @@
 					others[n] = i
 				}
 			}
+			// An instance reads the records before the ones that it waits for until then.
+			sinceClaim := f.now.Add(f.readDelay).Sub(f.visibleAt)
+			table.SetBehind(!f.visibleAt.IsZero() && sinceClaim > maxReadDelay)
 			if table.Decide(f.now, "j", f.visibleHolder, others) != Claim {
 				continue
 			}
 			f.claims++
 			if f.holder == f.visibleHolder { // the first claim wins
-				f.holder, f.visibleAt, took = table.self, f.now.Add(readDelay), f.now.Sub(began)
+				f.holder, f.visibleAt, took = table.self, f.now.Add(f.readDelay), f.now.Sub(began)
 			}
 		}
 	}
@@ -119,6 +126,20 @@
 	}
 }
 
+// Guards against instances that all claim a job one after the other, while the store is too busy for them to
+// read the first claim: their claims keep it busy.
+func TestInstancesThatAreBehindDoNotClaim(t *testing.T) {
+	f := newFleet(t, 50)
+	f.kill("i0")
+	f.readDelay = 15 * time.Second
+	f.run(time.Minute)
+	// Those that rank next, and the first one again, may claim before they know that they are behind.
+	const most = 1 + int(maxReadDelay/rankDelay) + int(maxReadDelay/claimRetryInterval)
+	if f.claims > most || f.holder.Instance == "i0" {
+		t.Fatalf("%d claims, held by %+v; want at most %d, by other instances", f.claims, f.holder, most)
+	}
+}
+
 // Guards against a job that is never claimed because the instance that ranks first cannot
 // claim, such as one that does not reach the store.
 func TestNextInRankingClaims(t *testing.T) {
