tunnel: a dial waits for other instances for 0.2 s after it has failed

With half of the servers dark, the direct dial fails after 0.3 s, and the answers of instances that dial the same server in vain could take up to 1 s. The request is better sent to another server; the dial through peers goes on without it, as its outcome tells the state of the links.

--- a/node/tunnel/dialer.go
+++ b/node/tunnel/dialer.go
@@ -23,6 +23,9 @@
 	directTimeout = 300 * time.Millisecond
 	// relayDelay is the time without a connection after which peers are asked beside the direct dial.
 	relayDelay = 100 * time.Millisecond
+	// relayGrace is the time that peers have after the direct dial has failed. The servers may be down,
+	// and the request better sent to another one.
+	relayGrace = 200 * time.Millisecond
 )
 
 // Options are the options of a Dialer.
@@ -123,8 +126,7 @@
 		if a.err == nil {
 			return a.conn, nil
 		}
-		c, err := d.dialThroughPeer(ctx, began, address)
-		return c, d.causeOf(err, a.err)
+		direct <- a
 	case <-timer.C:
 	case <-ctx.Done():
 		go discard(direct)
@@ -134,38 +136,59 @@
 }
 
 // race opens a connection through a peer while a direct dial goes on, and returns the one that is
-// open first.
-func (d *Dialer) race(ctx context.Context, began time.Time, address string, direct chan attempt) (net.Conn, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	relayed := make(chan attempt, 1)
-	go func() {
-		c, err := d.dialThroughPeer(ctx, began, address)
-		relayed <- attempt{c, err}
-	}()
-	select {
-	case a := <-direct:
-		if a.err == nil {
-			go discard(relayed)
-			return a.conn, nil
-		}
-		b := <-relayed
-		return b.conn, d.causeOf(b.err, a.err)
-	case b := <-relayed:
-		if b.err == nil {
-			go discard(direct)
-			return b.conn, nil
-		}
+// open first. Once the direct dial has failed, it waits for relayGrace.
+func (d *Dialer) race(ctx context.Context, began time.Time, address string, direct <-chan attempt) (net.Conn, error) {
+	relayed, cancel := d.startRelayed(ctx, began, address)
+	var directErr, relayErr error
+	var grace <-chan time.Time
+	for {
 		select {
 		case a := <-direct:
-			return a.conn, a.err
+			if a.err == nil {
+				cancel()
+				go discard(relayed)
+				return a.conn, nil
+			}
+			if relayed == nil {
+				return nil, d.causeOf(relayErr, a.err)
+			}
+			direct, directErr = nil, a.err
+			timer := time.NewTimer(relayGrace)
+			defer timer.Stop()
+			grace = timer.C
+		case b := <-relayed:
+			if b.err == nil {
+				go discard(direct)
+				return b.conn, nil
+			}
+			if direct == nil {
+				return nil, d.causeOf(b.err, directErr)
+			}
+			relayed, relayErr = nil, b.err
+		case <-grace:
+			go discard(relayed)
+			return nil, directErr
 		case <-ctx.Done():
+			go discard(relayed)
 			go discard(direct)
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// startRelayed dials through a peer. The dial goes on without ctx, as its outcome tells the state of the
+// links.
+func (d *Dialer) startRelayed(ctx context.Context, began time.Time, address string) (<-chan attempt, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), DialTimeout)
+	relayed := make(chan attempt, 1)
+	go func() {
+		defer cancel()
+		c, err := d.dialThroughPeer(ctx, began, address)
+		relayed <- attempt{c, err}
+	}()
+	return relayed, cancel
+}
+
 // causeOf returns the error of a dial that failed with the given ones through peers and directly. While
 // the links count as up, the server is at fault.
 func (d *Dialer) causeOf(relayed, direct error) error {
@@ -175,8 +198,11 @@
 	return direct
 }
 
-// discard closes the connection of an attempt that is not needed.
+// discard closes the connection of an attempt that is not needed; nil means that there is none.
 func discard(attempts <-chan attempt) {
+	if attempts == nil {
+		return
+	}
 	if a := <-attempts; a.conn != nil {
 		_ = a.conn.Close()
 	}
