exchange, tunnel: resets by servers count as such through a tunnel

An instance without links took every failure for one of the path, so that a request that crashes servers could have crashed them one after the other through a tunnel, unreported. The instance that helps now says that the server reset the connection (a mark in place of a chunk), and only direct connections are excused while the links are down.

--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -93,6 +93,7 @@
 	response, err := p.roundTrip(ctx, c, r, head, parseHeaders)
 	if err != nil {
 		_ = c.Close()
+		err = p.blame(c, err)
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", err, ctx.Err())
 		}
@@ -185,7 +186,7 @@
 		r.complete = true
 		return n, io.EOF
 	}
-	return n, fmt.Errorf("%w: %w", ErrIncomplete, err)
+	return n, r.pool.blame(r.conn, fmt.Errorf("%w: %w", ErrIncomplete, err))
 }
 
 // Close releases the connection. It returns to the pool only after a complete response
--- a/node/exchange/pool.go
+++ b/node/exchange/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -46,8 +47,18 @@
 
 // IsPathFault reports whether an attempt that failed with err says nothing of the server, since the path
 // to it failed.
-func (p *Pool) IsPathFault(err error) bool {
-	return errors.Is(err, ErrPath) || p.options.PathUp != nil && !p.options.PathUp()
+func IsPathFault(err error) bool { return errors.Is(err, ErrPath) }
+
+// blame returns the error of an exchange on a connection. It wraps ErrPath if the connection is a direct
+// one and the own links are down; one of Options.Dial states itself what failed.
+func (p *Pool) blame(c *conn, err error) error {
+	if c == nil {
+		return err // the response was closed before
+	}
+	if _, relayed := c.Conn.(Relayed); relayed || p.options.PathUp == nil || p.options.PathUp() {
+		return err
+	}
+	return fmt.Errorf("%w: %w", err, ErrPath)
 }
 
 const (
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -464,7 +464,7 @@
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, errServerTimeout), cause == nil:
-		pathFault := c.gateway.Pool.IsPathFault(err)
+		pathFault := exchange.IsPathFault(err)
 		if pathFault {
 			lease.End(balance.Abandoned)
 		} else {
--- a/node/jobs/run.go
+++ b/node/jobs/run.go
@@ -261,7 +261,7 @@
 		r.logRun(item, run, lease, "invalid", err)
 		return runOutcome{retryDelay: invalidRetryDelay}
 	case cause == nil, errors.Is(cause, errEventTimeout):
-		if r.Pool.IsPathFault(err) {
+		if exchange.IsPathFault(err) {
 			lease.End(balance.Abandoned)
 		} else {
 			lease.End(balance.Unreachable)
--- a/node/tunnel/server.go
+++ b/node/tunnel/server.go
@@ -229,8 +229,8 @@
 	}
 }
 
-// copyDown copies from the server in chunks, and writes the last chunk only if the server has ended the
-// connection in an orderly way. It reports whether that was so.
+// copyDown copies from the server in chunks. It writes the last chunk only if the server has ended the
+// connection in an orderly way, and resetMark otherwise. It reports whether one of them was written.
 func copyDown(c, server net.Conn) (ended bool) {
 	buffer := make([]byte, bufferBytes)
 	out := bufio.NewWriterSize(c, bufferBytes+64)
@@ -246,7 +246,8 @@
 			return chunks.Close() == nil && out.Flush() == nil
 		}
 		if err != nil {
-			return false
+			_, werr := out.WriteString(resetMark)
+			return werr == nil && out.Flush() == nil
 		}
 	}
 }
--- a/node/tunnel/tunnel_test.go
+++ b/node/tunnel/tunnel_test.go
@@ -137,15 +137,16 @@
 func TestOnlyAnOrderlyEndOfTheServerLooksLikeOne(t *testing.T) {
 	const body = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"
 	for name, c := range map[string]struct {
-		end   func(server *net.TCPConn, h *helper)
-		whole bool
+		end func(server *net.TCPConn, h *helper)
+		// whole is whether the response counts as complete, and path whether the path is at fault.
+		whole, path bool
 	}{
-		"orderly": {func(server *net.TCPConn, _ *helper) { _ = server.Close() }, true},
+		"orderly": {func(server *net.TCPConn, _ *helper) { _ = server.Close() }, true, false},
 		"reset": {func(server *net.TCPConn, _ *helper) {
 			_ = server.SetLinger(0)
 			_ = server.Close()
-		}, false},
-		"death of the helper": {func(_ *net.TCPConn, h *helper) { h.Close() }, false},
+		}, false, false},
+		"death of the helper": {func(_ *net.TCPConn, h *helper) { h.Close() }, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			received := make(chan struct{})
@@ -176,8 +177,8 @@
 			if whole := err == nil; whole != c.whole {
 				t.Errorf("error %v, whole %v", err, c.whole)
 			}
-			if err != nil && !pool.IsPathFault(err) {
-				t.Errorf("%v counts as the server's fault", err)
+			if path := exchange.IsPathFault(err); path != c.path {
+				t.Errorf("error %v, fault of the path %v", err, path)
 			}
 		})
 	}
