--- a/node/serve/settings_test.go
+++ b/node/serve/settings_test.go
@@ -86,3 +86,20 @@
 		}
 	})
 }
+
+// Guards against connections through other instances that cannot be switched off, or are off unless asked for.
+func TestSwitchOfTheRelay(t *testing.T) {
+	for setting, want := range map[string]bool{"": true, "[servers]\nrelay = true\n": true, "[servers]\nrelay = false\n": false} {
+		s, err := Parse([]byte(sample + setting))
+		if err != nil || s.Servers.Relays() != want {
+			t.Errorf("%q: relay %v, error %v", setting, s.Servers.Relays(), err)
+		}
+	}
+}
+
+// Guards against tunnels of other instances that take the descriptors of a small host.
+func TestTunnelsOfASmallHost(t *testing.T) {
+	if n := maxTunnels(Limits{MemoryMB: 144, Descriptors: 3075}); n < minConns || n > 150 {
+		t.Errorf("%d tunnels", n)
+	}
+}
