--- a/node/tunnel/dialer.go
+++ b/node/tunnel/dialer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -11,7 +10,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jacinthnotch/jacinthnotch/node/exchange"
-	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/policy/linkstate"
 )
 
@@ -23,6 +21,9 @@
 	directTimeout = 300 * time.Millisecond
 	// relayDelay is the time without a connection after which peers are asked beside the direct dial.
 	relayDelay = 100 * time.Millisecond
+	// relayGrace is the time that peers have after the direct dial has failed. The servers may be down,
+	// and the request better sent to another one.
+	relayGrace = 200 * time.Millisecond
 )
 
 // Options are the options of a Dialer.
@@ -123,8 +124,7 @@
 		if a.err == nil {
 			return a.conn, nil
 		}
-		c, err := d.dialThroughPeer(ctx, began, address)
-		return c, d.causeOf(err, a.err)
+		direct <- a
 	case <-timer.C:
 	case <-ctx.Done():
 		go discard(direct)
@@ -134,38 +134,59 @@
 }
 
 // race opens a connection through a peer while a direct dial goes on, and returns the one that is
-// open first.
-func (d *Dialer) race(ctx context.Context, began time.Time, address string, direct chan attempt) (net.Conn, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	relayed := make(chan attempt, 1)
-	go func() {
-		c, err := d.dialThroughPeer(ctx, began, address)
-		relayed <- attempt{c, err}
-	}()
-	select {
-	case a := <-direct:
-		if a.err == nil {
-			go discard(relayed)
-			return a.conn, nil
-		}
-		b := <-relayed
-		return b.conn, d.causeOf(b.err, a.err)
-	case b := <-relayed:
-		if b.err == nil {
-			go discard(direct)
-			return b.conn, nil
-		}
+// open first. Once the direct dial has failed, it waits for relayGrace.
+func (d *Dialer) race(ctx context.Context, began time.Time, address string, direct <-chan attempt) (net.Conn, error) {
+	relayed, cancel := d.startRelayed(ctx, began, address)
+	var directErr, relayErr error
+	var grace <-chan time.Time
+	for {
 		select {
 		case a := <-direct:
-			return a.conn, a.err
+			if a.err == nil {
+				cancel()
+				go discard(relayed)
+				return a.conn, nil
+			}
+			if relayed == nil {
+				return nil, d.causeOf(relayErr, a.err)
+			}
+			direct, directErr = nil, a.err
+			timer := time.NewTimer(relayGrace)
+			defer timer.Stop()
+			grace = timer.C
+		case b := <-relayed:
+			if b.err == nil {
+				go discard(direct)
+				return b.conn, nil
+			}
+			if direct == nil {
+				return nil, d.causeOf(b.err, directErr)
+			}
+			relayed, relayErr = nil, b.err
+		case <-grace:
+			go discard(relayed)
+			return nil, directErr
 		case <-ctx.Done():
+			go discard(relayed)
 			go discard(direct)
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// startRelayed dials through a peer. The dial goes on without ctx, as its outcome tells the state of the
+// links.
+func (d *Dialer) startRelayed(ctx context.Context, began time.Time, address string) (<-chan attempt, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), DialTimeout)
+	relayed := make(chan attempt, 1)
+	go func() {
+		defer cancel()
+		c, err := d.dialThroughPeer(ctx, began, address)
+		relayed <- attempt{c, err}
+	}()
+	return relayed, cancel
+}
+
 // causeOf returns the error of a dial that failed with the given ones through peers and directly. While
 // the links count as up, the server is at fault.
 func (d *Dialer) causeOf(relayed, direct error) error {
@@ -175,8 +196,11 @@
 	return direct
 }
 
-// discard closes the connection of an attempt that is not needed.
+// discard closes the connection of an attempt that is not needed; nil means that there is none.
 func discard(attempts <-chan attempt) {
+	if attempts == nil {
+		return
+	}
 	if a := <-attempts; a.conn != nil {
 		_ = a.conn.Close()
 	}
@@ -261,71 +285,3 @@
 		d.opt.OnChange()
 	}
 }
-
-// RunProbes probes servers directly after a suspicion, and repeatedly while the links are down or
-// suspected. It returns when ctx is done.
-func (d *Dialer) RunProbes(ctx context.Context) {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	for {
-		var address string
-		select {
-		case <-ctx.Done():
-			return
-		case address = <-d.suspects:
-		}
-		for again := true; again && ctx.Err() == nil; address = "" {
-			d.probe(ctx, address)
-			var delay time.Duration
-			again, delay = d.nextProbe(random)
-			if again {
-				clock.Sleep(ctx, delay)
-			}
-		}
-	}
-}
-
-// nextProbe reports whether another probe is due, and after which delay.
-func (d *Dialer) nextProbe(random *rand.Rand) (again bool, delay time.Duration) {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.links.Path() == linkstate.ThroughPeer || d.links.Suspect(now), d.links.ProbeDelay(now, random)
-}
-
-// probe dials a server directly and, if that fails while the links count as up, through a peer. An empty
-// address means a random server.
-func (d *Dialer) probe(ctx context.Context, address string) {
-	if address == "" {
-		address = d.chooseProbe()
-	}
-	if address == "" {
-		return // no server is known
-	}
-	d.metrics.count("probes")
-	began := time.Now()
-	c, err := d.dialDirect(ctx, "tcp", address)
-	if err != nil && d.LinksUp() {
-		c, err = d.dialThroughPeer(ctx, began, address)
-	}
-	if err == nil {
-		_ = c.Close()
-	}
-}
-
-// chooseProbe returns the address of a random server, preferably one that adds to what is known.
-func (d *Dialer) chooseProbe() string {
-	list := d.opt.Servers()
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, address := range list {
-		if d.links.WorthProbing(now, address) {
-			return address
-		}
-	}
-	if len(list) == 0 {
-		return ""
-	}
-	return list[0]
-}
