edge: a connection that ends serves no further request

Callers saw: a request was passed on to a server, cancelled there, and ended with its connection and no answer, if the account chose its connection to end while its last bytes were read.

Cause: the reader looked at the choice only if the request took more memory than was granted. Sizes are rounded, so that the last bytes of a request often take none.

Evidence: TestEndingConnectionServesNoRequest served the bytes on the code before and gets 503 now.

Every read of a request on such a connection now fails, for which its head gets 503 from the edge and its body from the handler, before anything is passed on.

--- a/node/edge/conn.go
+++ b/node/edge/conn.go
@@ -157,12 +157,13 @@
 	exceeds := isHead && c.scanner.ExceedsHead(c.headerBytes())
 	grow := to - c.held
 	unchanged := isNext || grow <= 0
+	ends := c.ending && !isNext
 	c.account.mu.Unlock()
 	switch {
 	case exceeds:
 		c.account.strikeHead(c)
 		return 0, c.refuse(http.StatusRequestHeaderFieldsTooLarge, errHead)
-	case !unchanged && !c.account.resize(c, to, now):
+	case ends, !unchanged && !c.account.resize(c, to, now):
 		return 0, c.refusePressure()
 	case !unchanged:
 		c.account.collect(grow)
--- a/node/edge/conn_test.go
+++ b/node/edge/conn_test.go
@@ -304,3 +304,21 @@
 		}
 	}
 }
+
+// Guards against a request that is served on a connection that was chosen to end while its last bytes were
+// read, so that it is cancelled at its server.
+func TestEndingConnectionServesNoRequest(t *testing.T) {
+	account := NewAccount("test", 1<<20, 1)
+	c, client := readHere(t, account, get)
+	c.pending = []byte("\r\n")
+	account.mu.Lock()
+	account.end(c)
+	account.mu.Unlock()
+	if n, err := c.Read(make([]byte, 1<<10)); err == nil {
+		t.Errorf("%d bytes are served", n)
+	}
+	_ = c.Close()
+	if got := status(bufio.NewReader(client)); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", got)
+	}
+}
