tunnel: a reset that a write was told of is no end of the server's answer

Cause: the helping instance writes to the server and reads from it at once. The kernel reports a reset once; if the write gets the report, the read finds an end, and the last chunk was sent. Why this works: the end counts only while the kernel says that the server closed the connection, all that was sent is acknowledged, and no write is pending or has failed.

--- a/node/tunnel/server.go
+++ b/node/tunnel/server.go
@@ -10,11 +10,13 @@
 	"net/http"
 	"net/http/httputil"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/node/internal/clock"
 	"github.com/jacinthnotch/jacinthnotch/node/internal/guard"
+	"github.com/jacinthnotch/jacinthnotch/node/internal/tcpstate"
 )
 
 const (
@@ -167,13 +169,14 @@
 		return
 	}
 	var running sync.WaitGroup
+	up := &upstream{}
 	running.Go(func() {
-		guard.Run("tunnel", func() { copyUp(server, c) })
+		guard.Run("tunnel", func() { up.copy(server, c) })
 		_ = server.Close() // the instance has ended the connection
 		_ = c.Close()
 	})
 	ended := false
-	guard.Run("tunnel", func() { ended = copyDown(c, server) })
+	guard.Run("tunnel", func() { ended = copyDown(c, server, up) })
 	if ended {
 		// A connection that is closed with unread bytes is reset, and the other end would lose the last
 		// chunk.
@@ -211,17 +214,26 @@
 	return err
 }
 
-// copyUp copies to the server until either end of the tunnel ends.
-func copyUp(server, c net.Conn) {
+// upstream is the direction from the instance that asked for the tunnel to the server.
+type upstream struct {
+	// pending is set while bytes that were received have not been handed to the kernel, for good if
+	// that fails.
+	pending atomic.Bool
+}
+
+// copy copies to the server until either end of the tunnel ends.
+func (u *upstream) copy(server, c net.Conn) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := c.Read(buffer)
 		if n > 0 {
+			u.pending.Store(true)
 			if _, werr := server.Write(buffer[:n]); werr != nil {
 				// The rest of the response may still be on its way.
 				_, _ = io.Copy(io.Discard, c)
 				return
 			}
+			u.pending.Store(false)
 		}
 		if err != nil {
 			return
@@ -229,9 +241,16 @@
 	}
 }
 
-// copyDown copies from the server in chunks. It writes the last chunk only if the server has ended the
+// isOrderlyEnd reports whether the server has closed the connection after it received all that was sent.
+// The kernel reports a reset once, to a read or a write, so that a read may find an end instead.
+func (u *upstream) isOrderlyEnd(server net.Conn) bool {
+	state, known := tcpstate.Of(server)
+	return !u.pending.Load() && (!known || state.ClosedByPeer && state.Unacknowledged == 0)
+}
+
+// copyDown copies from the server in chunks; up is the other direction. It writes the last chunk only if the server has ended the
 // connection in an orderly way, and resetMark otherwise. It reports whether one of them was written.
-func copyDown(c, server net.Conn) (ended bool) {
+func copyDown(c, server net.Conn, up *upstream) (ended bool) {
 	buffer := make([]byte, bufferBytes)
 	out := bufio.NewWriterSize(c, bufferBytes+64)
 	chunks := httputil.NewChunkedWriter(out)
@@ -242,7 +261,7 @@
 				return false
 			}
 		}
-		if err == io.EOF { //nolint:errorlint // only the plain value is the orderly end
+		if err == io.EOF && up.isOrderlyEnd(server) { //nolint:errorlint // only the plain value is the orderly end
 			return chunks.Close() == nil && out.Flush() == nil
 		}
 		if err != nil {
--- a/node/tunnel/tunnel_test.go
+++ b/node/tunnel/tunnel_test.go
@@ -296,3 +296,28 @@
 		t.Errorf("a tunnel carries requests for %v more", left)
 	}
 }
+
+// Guards against a part of an answer that looks whole, since the helper's write to the server gets the report of
+// a reset and its read finds an end: the server answers while a long request is still being written.
+func TestResetDuringAnUploadIsNoEnd(t *testing.T) {
+	const rounds = 40
+	server := startServer(t, func(c *net.TCPConn) {
+		_, _ = io.ReadFull(c, make([]byte, 1<<10))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+		_ = c.Close() // with unread bytes, so that it resets the connection
+	})
+	h := startHelper(t, "b", 8, server)
+	upload := make([]byte, 4<<20)
+	whole := 0
+	for range rounds {
+		c := openThrough(t, server, h)
+		go func() { _, _ = c.Write(upload) }()
+		if _, err := io.ReadAll(c); err == nil {
+			whole++
+		}
+		_ = c.Close()
+	}
+	if whole > 0 {
+		t.Errorf("%d of %d answers that the server reset look whole", whole, rounds)
+	}
+}
