pagesize: pages grow on a store that takes long to begin each response

Callers saw: after a restart of all instances beside a store with 0.24 s of latency, jobs stay unreadable, and unclaimed, for several times as long as the bytes of the index need.

Cause: a full page that took between 100 and 400 ms changed nothing. A store that delays each response by 0.24 s, the slowest documented latency, never answers faster, so that pages which a busy time had shortened to 16 KB stayed at 16 KB, and those of a start at 64 KB.

Why it works: between the two bounds a full page adds the least size. On a store whose bandwidth is short, pages grow until a read takes 400 ms and then halve, as before.

--- a/policy/pagesize/pagesize.go
+++ b/policy/pagesize/pagesize.go
@@ -10,8 +10,8 @@
 import "time"
 
 const (
-	// fastRead is the time within which a full page lets the next one be longer, and slowRead the
-	// time from which the next one is shorter.
+	// fastRead is the time within which a full page doubles the next one, and slowRead the time from
+	// which the next one is half as long. Between them it grows by the least size.
 	fastRead = 100 * time.Millisecond
 	slowRead = 400 * time.Millisecond
 )
@@ -31,8 +31,12 @@
 	switch {
 	case took >= slowRead:
 		s.halve()
-	case took <= fastRead && full:
+	case !full:
+	case took <= fastRead:
 		s.current = min(s.most, 2*s.current)
+	default:
+		// A store that takes long to begin any response may still send long ones.
+		s.current = min(s.most, s.current+s.least)
 	}
 }
 
