gateway: a begun stream pauses between the servers that refuse it

Seen: while all servers of a service refuse, each begun stream asks one after the other as fast as they answer, and all of them again after 50 to 100 ms. The refusals cost the servers and the instances the time that would end the shortage.

Cause: the bound of 6 refusals does not hold for begun streams, and the pause came only once no server was left untried.

Why it works: from the sixth attempt on, each one waits as the ones after a full round do. Streams that have not begun are refused as before.

--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -243,7 +243,7 @@
 				c.fail("no attempt is left")
 				return
 			}
-		case c.sentCount >= maxServersTried && !c.headerWritten:
+		case c.sentCount >= maxServersTried && !c.pauseBegun(ctx):
 			c.fail("the servers refuse")
 			return
 		}
@@ -251,9 +251,21 @@
 }
 
 // awaitServers waits until the servers that did not run the request or fell silent may be asked again, if
-// the response has begun. It returns false if the stream has to be given up: it breaks off for its
-// caller, which is worse than a delay.
+// the response has begun. It returns false if the stream has to be given up.
 func (c *call) awaitServers(ctx context.Context) bool {
+	if !c.pauseBegun(ctx) {
+		return false
+	}
+	for _, server := range c.mayAskAgain {
+		delete(c.tried, server)
+	}
+	c.mayAskAgain = c.mayAskAgain[:0]
+	return true
+}
+
+// pauseBegun waits before the next attempt at a stream that has begun: it would break off for its caller,
+// which is worse than a delay. It returns false if the stream has not begun or has to be given up.
+func (c *call) pauseBegun(ctx context.Context) bool {
 	if !c.headerWritten || c.incoming.Context().Err() != nil || c.deadlineReached() {
 		return false
 	}
@@ -264,10 +276,6 @@
 		return false
 	}
 	clock.Sleep(ctx, begunRetryDelay+rand.N(begunRetryDelay))
-	for _, server := range c.mayAskAgain {
-		delete(c.tried, server)
-	}
-	c.mayAskAgain = c.mayAskAgain[:0]
 	return ctx.Err() == nil
 }
 
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -156,6 +156,22 @@
 	}
 }
 
+// Guards against a begun stream that asks all servers of a large service as fast as they refuse.
+func TestBegunStreamAsksManyServersSlowly(t *testing.T) {
+	const patience = 1200 * time.Millisecond
+	f := newFleet(t, 60, streamRoute(true), func(c net.Conn, _ *http.Request, n int) {
+		if n == 0 {
+			sendTruncatedStream(c, 3)
+			return
+		}
+		fmt.Fprint(c, fullResponse(http.StatusServiceUnavailable, "full", "Refused", "1"))
+	})
+	_, _, err := f.send(t, "Patience", fmt.Sprint(patience.Milliseconds()))
+	if most := maxServersTried + int(patience/begunRetryDelay); err == nil || f.count() > most {
+		t.Errorf("%d sends, want at most %d; error %v", f.count(), most, err)
+	}
+}
+
 // Guards against a stream that is broken off since its sound server was silent for a moment and no other
 // server has room.
 func TestBegunStreamReturnsToItsSilentServer(t *testing.T) {
