peers: servers that share a hash are not taken for each other

Cause: datagrams name servers by hashes, and a receiver kept one id a hash. Change: ids that share a hash are left out of what datagrams can name, and a hub grants no slot on them to other instances; a pick for another service than the request's is never accepted.

--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -351,8 +351,12 @@
 // placeForPeer picks a server for a peer's request and counts the request there. The choice has
 // no server if there is a rejection.
 func (g *Group) placeForPeer(request *serverRequest, q balance.Query, from netip.AddrPort) (balance.Choice, *balance.Rejection) {
-	if len(request.Avoid) > 0 {
+	// The peer could take the hash of an ambiguous server for that of another one.
+	if ambiguous := g.ambiguousServers(); len(request.Avoid)+len(ambiguous) > 0 {
 		q.Tried = map[string]bool{}
+		for _, id := range ambiguous {
+			q.Tried[id] = true
+		}
 		for _, h := range request.Avoid {
 			q.Tried[g.serverID(h)] = true
 		}
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -361,8 +361,8 @@
 }
 
 // hash returns the hash that stands for the id of a server or the name of an instance in
-// datagrams. Two with the same hash share their figures, which only makes the load less
-// balanced.
+// datagrams. What is said of servers that share a hash is ignored (serverList). Two instances with the
+// same hash share their figures, which only makes the load less balanced.
 func hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 func encode(k kind, body any) ([]byte, error) {
--- a/node/peers/totals.go
+++ b/node/peers/totals.go
@@ -29,6 +29,8 @@
 	// version is that of the view that the list was made from.
 	version uint64
 	byHash  map[uint32]string
+	// ambiguous are the ids that share a hash with another one. They are not in byHash.
+	ambiguous []string
 	// order holds the ids in the order of their hashes, and digest identifies it.
 	order  []string
 	digest uint64
@@ -36,8 +38,16 @@
 
 func newServerList(version uint64, ids []string) serverList {
 	l := serverList{version: version, byHash: make(map[uint32]string, len(ids)), order: slices.Clone(ids)}
+	idsOf := make(map[uint32][]string, len(ids))
 	for _, id := range ids {
-		l.byHash[hash(id)] = id
+		idsOf[hash(id)] = append(idsOf[hash(id)], id)
+	}
+	for h, same := range idsOf {
+		if len(same) == 1 {
+			l.byHash[h] = same[0]
+		} else {
+			l.ambiguous = append(l.ambiguous, same...)
+		}
 	}
 	slices.SortFunc(l.order, func(a, b string) int { return cmp.Or(cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b)) })
 	digest := xxhash.New()
@@ -83,7 +93,14 @@
 	return g.servers
 }
 
-// serverID returns the id of the server with a hash, or "" if none is registered.
+// ambiguousServers returns the ids of the servers that no datagram can name.
+func (g *Group) ambiguousServers() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.serverIDs().ambiguous
+}
+
+// serverID returns the id of the server with a hash, or "" if none is registered or several are.
 func (g *Group) serverID(h uint32) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -404,3 +404,15 @@
 		clear(tb.batchWaits)
 	}
 }
+
+// Guards against a request that a hub sends to a server of another service, which the hub and this instance
+// know by different entries.
+func TestPickOfAnotherServiceIsNotAccepted(t *testing.T) {
+	tb := newTestTable(2, 4)
+	if _, ok := tb.AcceptPick(epoch, "s00", Query{Service: "other"}); ok {
+		t.Error("a request of another service is accepted on s00")
+	}
+	if _, ok := tb.AcceptPick(epoch, "s00", Query{Service: "svc"}); !ok {
+		t.Error("a request of the service of s00 is not accepted there")
+	}
+}
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -483,10 +483,11 @@
 }
 
 // AcceptPick returns the choice of a server that a hub picked for this instance. It
-// returns false when this instance does not know the server or would not use it.
+// returns false when this instance does not know the server or would not use it, or knows it as one of
+// another service.
 func (t *Table) AcceptPick(now time.Time, server string, q Query) (Choice, bool) {
 	s := t.servers[server]
-	if s == nil || !s.eligible(&q) || s.consecutiveUnreachable > 0 && now.Before(s.backoffUntil) {
+	if s == nil || s.server.Service != q.Service || !s.eligible(&q) || s.consecutiveUnreachable > 0 && now.Before(s.backoffUntil) {
 		return Choice{}, false
 	}
 	return s.choice(), true
