takeover: instances that are behind time and again claim jobs in the end

Cause: being behind once discarded all delays, and the shortest one, for a lost holder, is a second.

Evidence: TestInstancesThatAreOftenBehindClaim, 0.8 s current and 0.6 s behind in turn, makes no claim while the delays are discarded.

Why it works: the time behind does not count, and the time before it does. The ranking still holds between instances, so that not all claim at once when they are current again.

--- a/node/jobs/runner.go
+++ b/node/jobs/runner.go
@@ -192,7 +192,7 @@
 	behind := r.Index.Behind()
 	jobs := r.snapshot()
 	r.mu.Lock()
-	r.takeovers.SetBehind(behind)
+	r.takeovers.SetBehind(now, behind)
 	for _, claim := range r.update(now, jobs, alive) {
 		r.runs.Go(func() { guard.Run("claim of a job", func() { r.writeClaim(ctx, claim) }) })
 	}
--- a/policy/takeover/takeover.go
+++ b/policy/takeover/takeover.go
@@ -53,8 +53,10 @@
 	withoutHolderSince map[string]time.Time
 	// claimedAt holds, by job, the time of this instance's last claim.
 	claimedAt map[string]time.Time
-	// behind is set while this instance does not know the latest claims.
-	behind bool
+	// behind is set while this instance does not know the latest claims, and updatedAt is the time of the
+	// last call of SetBehind.
+	behind    bool
+	updatedAt time.Time
 }
 
 // NewTable returns the table of an instance that started at the given time.
@@ -64,12 +66,16 @@
 
 // SetBehind records whether this instance may lack claims of others, because it does not read their records
 // in time. While it is behind it makes no claims: others may have claimed the jobs long ago, and void
-// claims of many instances delay the records that all of them wait for. The delays begin anew afterwards.
-func (t *Table) SetBehind(behind bool) {
-	t.behind = behind
-	if behind {
-		clear(t.withoutHolderSince)
+// claims of many instances delay the records that all of them wait for. The delays before a claim go on
+// afterwards; if they began anew, instances that are behind time and again would never claim.
+func (t *Table) SetBehind(now time.Time, behind bool) {
+	if t.behind {
+		elapsed := now.Sub(t.updatedAt)
+		for job, since := range t.withoutHolderSince {
+			t.withoutHolderSince[job] = since.Add(elapsed)
+		}
 	}
+	t.behind, t.updatedAt = behind, now
 }
 
 // Decide returns what to do with an open job. The map alive holds, by name, the
--- a/policy/takeover/takeover_test.go
+++ b/policy/takeover/takeover_test.go
@@ -77,7 +77,7 @@
 			}
 			// An instance reads the records before the ones that it waits for until then.
 			sinceClaim := f.now.Add(f.readDelay).Sub(f.visibleAt)
-			table.SetBehind(!f.visibleAt.IsZero() && sinceClaim > maxReadDelay)
+			table.SetBehind(f.now, !f.visibleAt.IsZero() && sinceClaim > maxReadDelay)
 			if table.Decide(f.now, "j", f.visibleHolder, others) != Claim {
 				continue
 			}
@@ -140,6 +140,22 @@
 	}
 }
 
+// Guards against a job that no instance claims for as long as the store is so slow that all of them are behind
+// time and again.
+func TestInstancesThatAreOftenBehindClaim(t *testing.T) {
+	const current, behind, within = 800 * time.Millisecond, 600 * time.Millisecond, 5 * time.Second
+	lost := joblog.Holder{Instance: "lost", Incarnation: 1}
+	table := NewTable(joblog.Holder{Instance: "a", Incarnation: 1}, epoch)
+	now := epoch.Add(startupDelay)
+	for end := now.Add(within); now.Before(end); now = now.Add(tickInterval) {
+		table.SetBehind(now, now.Sub(epoch)%(current+behind) >= current)
+		if table.Decide(now, "j", lost, nil) == Claim {
+			return
+		}
+	}
+	t.Errorf("no claim within %v", within)
+}
+
 // Guards against a job that is never claimed because the instance that ranks first cannot
 // claim, such as one that does not reach the store.
 func TestNextInRankingClaims(t *testing.T) {
