tunnel: the tunnels of one instance are spread over several others

Seen: an instance without links that dials one server at a time opens all its tunnels through one other instance, though eight would help.

Cause: peers that opened a tunnel come first, and only those that are asked stay in that state. The first one that helps keeps all of them.

Evidence: TestTunnelsAreSpreadOverInstances finds 200 of 200 tunnels at one of eight instances before the change, want at most half.

Why it works: until four peers are known to help, half of the dials ask another one first. Where no other helps, these dials lose the time of one refusal, as the peer is then left out for a second.

--- a/node/tunnel/client.go
+++ b/node/tunnel/client.go
@@ -26,6 +26,10 @@
 	peerCooldown = time.Second
 	// provenFor is how long a peer that opened a tunnel is preferred.
 	provenFor = 3 * time.Second
+	// minProven is the number of peers that share the tunnels of one instance, where so many help. Until they
+	// are found, exploreShare of the dials ask another peer first.
+	minProven    = 4
+	exploreShare = 0.5
 )
 
 var (
@@ -112,7 +116,7 @@
 }
 
 // rank returns the peers to ask in turn: first those that opened a tunnel lately, then the others, each in
-// an order that alternates between data centres.
+// an order that alternates between data centres. While few are known to help, one of the others may come first.
 func (c *client) rank(now time.Time) []pathselect.Peer {
 	list := c.peers.LivePeers()
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
@@ -135,7 +139,11 @@
 		}
 	}
 	c.mu.Unlock()
-	return append(alternate(proven), alternate(others)...)
+	proven, others = alternate(proven), alternate(others)
+	if len(proven) < minProven && len(others) > 0 && rand.Float64() < exploreShare {
+		proven, others = append([]pathselect.Peer{others[0]}, proven...), others[1:]
+	}
+	return append(proven, others...)
 }
 
 // alternate orders peers so that those in the same data centre and others alternate: all of one data centre
--- a/node/tunnel/dialer_test.go
+++ b/node/tunnel/dialer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"io"
 	"net"
 	"sync/atomic"
@@ -146,3 +147,27 @@
 	defer l.Close()
 	return l.Addr().String()
 }
+
+// Guards against an instance without links that opens all its tunnels through one other instance, though many
+// would help.
+func TestTunnelsAreSpreadOverInstances(t *testing.T) {
+	const helpers, dials = 8, 200
+	servers := twoServers(t)
+	var list peerList
+	var started []*helper
+	for n := range helpers {
+		h := startHelper(t, string(rune('a'+n)), dials, servers...)
+		list, started = append(list, h.peer), append(started, h)
+	}
+	cut := &cuttableDial{}
+	cut.cut.Store(true)
+	d := NewDialer(Options{Peers: list, Servers: func() []string { return append([]string(nil), servers...) }, Direct: cut.dial})
+	for n := range dials {
+		_ = mustDial(t, d, servers[n%len(servers)]).Close()
+	}
+	for _, h := range started {
+		if n, _ := h.metrics.counts.Get("served").(*expvar.Int); n != nil && n.Value() > dials/2 {
+			t.Errorf("%d of %d tunnels through instance %s", n.Value(), dials, h.peer.Name)
+		}
+	}
+}
