--- a/node/tunnel/server.go
+++ b/node/tunnel/server.go
@@ -202,10 +202,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), serverTimeout)
 	defer cancel()
 	server, err := s.Dial(ctx, "tcp", address)
-	if err != nil {
-		return nil, http.StatusBadGateway
+	switch {
+	case err == nil:
+		return server, http.StatusOK
+	case !s.Helps(): // this dial has shown it
+		return nil, http.StatusServiceUnavailable
 	}
-	return server, http.StatusOK
+	return nil, http.StatusBadGateway
 }
 
 // writeStatus writes the head of a response.
--- a/node/tunnel/tunnel_test.go
+++ b/node/tunnel/tunnel_test.go
@@ -321,3 +321,19 @@
 		t.Errorf("%d of %d answers that the server reset look whole", whole, rounds)
 	}
 }
+
+// Guards against a sound server that counts as down since the instance that was asked has lost its own links and
+// has just found out.
+func TestHelperThatFindsItsLinksLostDoesNotBlameTheServer(t *testing.T) {
+	servers := twoServers(t)
+	h := startHelper(t, "b", 8, servers...)
+	cut := &cuttableDial{}
+	cut.cut.Store(true)
+	h.dialer.opt.Direct = cut.dial
+	for n, want := range []error{ErrServer, ErrNoPeer} { // one server alone may be down
+		_, err := newClient(peerList{h.peer}, exchange.Dial).Open(testContext(t), servers[n])
+		if !errors.Is(err, want) {
+			t.Errorf("dial %d: %v, want %v", n, err, want)
+		}
+	}
+}
