relay: a store that turns slow does not count as down

Cause: a probe had six times the mean latency of a fast store, 80 ms. A store that turned slow (0.24 s a call) failed it, though it answered. A path that counts as down frees all the second attempts that the budget withholds, and the next answer gives up all reads in flight: the store gets each call three times, and each read once more, when it turns slow.

Evidence: TestStoreThatTurnsSlowDoesNotCountAsDown counts 42 calls through other instances for 21 of its own and 18 reads given up before the change, and 6 and none now.

Why it works: a probe has 0.3 s at least, above the slowest documented latency. Where the path is down, the first calls go through other instances after 80 ms as before, and the others up to 0.22 s later.

--- a/node/relay/outage_test.go
+++ b/node/relay/outage_test.go
@@ -317,3 +317,49 @@
 		running.Wait()
 	})
 }
+
+// slowStore answers all calls late, reads most of all.
+type slowStore struct{ busyStore }
+
+func (s *slowStore) Newest(ctx context.Context, _, _ string) (port.NewestPage, error) {
+	clock.Sleep(ctx, 240*time.Millisecond)
+	if ctx.Err() != nil {
+		return port.NewestPage{}, fmt.Errorf("%w: %w", port.ErrOutcomeUnknown, ctx.Err())
+	}
+	return port.NewestPage{}, nil
+}
+
+// Guards against a store that turns slow, counts as down since a probe takes long, and so gets each call in flight
+// three times and each read once more.
+func TestStoreThatTurnsSlowDoesNotCountAsDown(t *testing.T) {
+	const reads, again = 20, 8
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		others := &peers{list: []pathselect.Peer{{Name: "b", Address: "b:1", ReachesStore: true}, {Name: "c", Address: "c:1", ReachesStore: true}}}
+		instance := relay.NewStore(&slowStore{}, others, noConns{}, probeTopic)
+		var running sync.WaitGroup
+		running.Go(func() { instance.RunProbes(ctx) })
+		running.Go(func() {
+			for ; ctx.Err() == nil; clock.Sleep(ctx, 100*time.Millisecond) {
+				_, _ = instance.Newest(ctx, "n", "")
+			}
+		})
+		var waiting sync.WaitGroup
+		for range reads {
+			waiting.Go(func() {
+				if _, err := instance.Read(ctx, partition, 0, 1000, 0); err != nil {
+					t.Errorf("read: %v", err)
+				}
+			})
+		}
+		waiting.Wait()
+		counts := instance.Map()
+		for name, most := range map[string]int64{"through_peer": again, "reads_lost": 0} {
+			if n, _ := counts.Get(name).(*expvar.Int); n != nil && n.Value() > most {
+				t.Errorf("%s: %d calls, want at most %d", name, n.Value(), most)
+			}
+		}
+		cancel()
+		running.Wait()
+	})
+}
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -27,6 +27,9 @@
 	// probeInterval is the interval of probes of the own path while it is down. The recovery
 	// of the store has to be noticed within the 3 s after which it counts as stable.
 	probeInterval = 400 * time.Millisecond
+	// minProbeTimeout is the least time in which a probe may be answered. It is above the latency of a slow
+	// store: when the path counts as down, all calls in flight are made through peers.
+	minProbeTimeout = 300 * time.Millisecond
 	// turnedAwayAfter is the time without a successful call after which rejections by the rate
 	// limit show that the store turns this instance away and may serve others.
 	turnedAwayAfter = 500 * time.Millisecond
@@ -509,7 +512,7 @@
 
 // probe reads an empty page on the own path and records the outcome.
 func (s *Store) probe(ctx context.Context) {
-	probeCtx, cancel := context.WithTimeout(ctx, s.attemptTimeout())
+	probeCtx, cancel := context.WithTimeout(ctx, max(minProbeTimeout, s.attemptTimeout()))
 	defer cancel()
 	start := time.Now()
 	_, err := s.ownPath.Newest(probeCtx, s.probeTopic, afterAllKeys)
