jobs: callers do not multiply the reads of a long index

Callers would see: after a restart of all instances, the more they ask for their jobs, the longer these stay unreadable.

Cause: a call about a job that an instance does not know yet reads the index to its end, by itself and from the same offset as the follower and all other such calls, and gives up after a second. It is the cause of the lost jobs, work that is given up and repeated on a store that is slow under it, once more, multiplied by the callers.

Evidence: TestCallersDoNotMultiplyTheReadsOfALongIndex, 20 calls beside the follower: records are read 21 times before the change and once now.

Why it works: such calls share a read that begins after the last of them asked (as reads of results do), and while there is more to read than one read returns, reads take turns, each from where the one before ended. They do not wait for new records then.

--- a/node/jobs/index.go
+++ b/node/jobs/index.go
@@ -71,6 +71,8 @@
 	// it is: those made while behind is set.
 	pageSize *pagesize.Size
 	behind   bool
+	// turn holds a value during a read that is made while behind is set.
+	turn chan struct{}
 
 	appends     chan *pendingAppend
 	storeHealth storeHealth
@@ -85,7 +87,7 @@
 func NewIndex(store port.Store) *Index {
 	return &Index{
 		store: store, table: joblog.NewTable(), changed: make(chan struct{}), admissions: admissions{quota.NewTable()},
-		appends: make(chan *pendingAppend, maxAppendRecords), pageSize: pagesize.New(initialReadBytes, minReadBytes, maxReadBytes), behind: true,
+		appends: make(chan *pendingAppend, maxAppendRecords), pageSize: pagesize.New(initialReadBytes, minReadBytes, maxReadBytes), behind: true, turn: make(chan struct{}, 1),
 	}
 }
 
@@ -128,6 +130,14 @@
 // readNext reads the next records and applies them. It returns their number, and whether they are
 // the last ones.
 func (x *Index) readNext(ctx context.Context, wait time.Duration) (n int, atEnd bool, err error) {
+	behind, release, err := x.awaitTurn(ctx)
+	if err != nil {
+		return 0, false, err
+	}
+	defer release()
+	if behind {
+		wait = 0
+	}
 	x.mu.Lock()
 	from, size := x.table.Next(), x.pageSize.Bytes()
 	x.mu.Unlock()
@@ -164,6 +174,23 @@
 	return len(page.Records), atEnd, nil
 }
 
+// awaitTurn waits while there is more to read than one read returns and another one is in flight: both would
+// get the same records.
+func (x *Index) awaitTurn(ctx context.Context) (behind bool, release func(), err error) {
+	x.mu.Lock()
+	behind = x.behind
+	x.mu.Unlock()
+	if !behind {
+		return false, func() {}, nil
+	}
+	select {
+	case x.turn <- struct{}{}:
+		return true, func() { <-x.turn }, nil
+	case <-ctx.Done():
+		return true, nil, fmt.Errorf("%w: %w", port.ErrUnavailable, ctx.Err())
+	}
+}
+
 // recordRead records what a read tells of how busy the store is.
 func (x *Index) recordRead(page port.Page, wait, took time.Duration, err error) {
 	x.mu.Lock()
--- a/node/jobs/index_test.go
+++ b/node/jobs/index_test.go
@@ -120,6 +120,54 @@
 	})
 }
 
+// countedIndex counts the reads that are sent from each offset.
+type countedIndex struct {
+	longIndex
+	mu    sync.Mutex
+	reads map[int64]int
+}
+
+func (s *countedIndex) Read(ctx context.Context, p port.Partition, from int64, maxBytes int, wait time.Duration) (port.Page, error) {
+	s.mu.Lock()
+	s.reads[from]++
+	s.mu.Unlock()
+	return s.longIndex.Read(ctx, p, from, maxBytes, wait)
+}
+
+// Guards against callers that multiply the reads of a long index after a restart: each question about a job that is
+// not known yet reads the same records beside the others.
+func TestCallersDoNotMultiplyTheReadsOfALongIndex(t *testing.T) {
+	const callers = 20
+	synctest.Test(t, func(t *testing.T) {
+		store := &countedIndex{longIndex: longIndex{records: 2000, pageRecords: 20}, reads: map[int64]int{}}
+		x := NewIndex(store)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go x.Follow(ctx)
+		service := &Service{Index: x}
+		var running sync.WaitGroup
+		for range callers {
+			running.Go(func() {
+				if job, err := service.confirmJob(ctx, "unknown"); job != nil || err != nil {
+					t.Errorf("job %v, error %v", job, err)
+				}
+			})
+		}
+		running.Wait()
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		most := 0
+		for from, n := range store.reads {
+			if from < store.records {
+				most = max(most, n)
+			}
+		}
+		if most > 1 {
+			t.Errorf("records are read %d times", most)
+		}
+	})
+}
+
 // Guards against an instance that answers 404 for a job that exists, since it takes the expiry of the first
 // records of the index for the end of it.
 func TestCatchUpReadsBeyondExpiredRecords(t *testing.T) {
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -167,7 +167,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
 	defer cancel()
-	if err := s.Index.CatchUp(ctx); err != nil {
+	if err := s.Index.Refresh(ctx); err != nil {
 		return nil, err
 	}
 	job, _, _ := s.lookUp(id)
