policy/balance: the choice of servers is a function of the seed

SetServers went over a map, so that the servers of a service were in another order after each listing. The table draws from this list where it has no complete view, and preferHome goes on from a random place in it: the same random numbers gave other servers.

The servers are taken in the order of their IDs.

TestChoiceIsAFunctionOfTheSeed plays one seed twice in a process and compares all figures.

--- a/policy/balance/prompt_test.go
+++ b/policy/balance/prompt_test.go
@@ -196,3 +196,18 @@
 		}
 	}
 }
+
+// Guards against a choice of servers that depends on more than the reports and the given random
+// numbers, such as the order of a map: figures of a load could not be reproduced from its seed.
+func TestChoiceIsAFunctionOfTheSeed(t *testing.T) {
+	hub := promptLoad{servers: 45, inFlight: 3.2, roots: 40, leaves: 398, skew: 0.3, hotShare: 0.5, capacity: 147_261, restartEvery: time.Second}
+	hubless := hub
+	hubless.instances, hubless.inFlight = 40, 2
+	for name, load := range map[string]promptLoad{"with a hub": hub, "without a hub": hubless} {
+		for _, known := range []bool{false, true} {
+			if first, second := load.run(1, known), load.run(1, known); first != second {
+				t.Errorf("%s, KV caches known %v: %+v, and %+v in the second run of the seed", name, known, first, second)
+			}
+		}
+	}
+}
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -237,8 +238,9 @@
 		}
 	}
 	clear(t.services)
-	for id, server := range servers {
-		s := t.servers[id]
+	// A draw from a service's servers depends on their order.
+	for _, id := range slices.Sorted(maps.Keys(servers)) {
+		s, server := t.servers[id], servers[id]
 		if s == nil {
 			s = &serverState{hash: hashOf(id)}
 			t.servers[id] = s
