relay: the time for calls through peers grows if they are given up

What callers would see: an instance that has lost its own path learns no configuration once the store is slow: each call through a peer ended after 80 to 140 ms. Cause: the time follows the mean latency of answered calls, and there are none. Evidence: TestTimeoutsOfRelayedCallsGrow: after at most 4 calls that were given up the time is above twice the latency of a slow store (0.24 s); without RecordTimeout it stays at 80 ms.

--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -34,10 +34,12 @@
 		var zero T
 		return zero, errNoPath
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+s.attemptTimeout())
+	timeout := s.attemptTimeout()
+	callCtx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	value, err := callOwnPath(callCtx, s, wait, own)
 	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+		s.recordTimeout(timeout)
 		s.requestProbe()
 	}
 	return value, err
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -488,11 +488,23 @@
 func callPeer[T any](
 	ctx context.Context, s *Store, p pathselect.Peer, wait time.Duration, viaPeer func(context.Context, peerpb.DRPCStoreClient) (T, error),
 ) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+s.peerCallTimeout())
+	timeout := s.peerCallTimeout()
+	callCtx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
-	conn := s.conns.Conn(ctx, p.Address)
+	conn := s.conns.Conn(callCtx, p.Address)
 	defer conn.Close() // returns the connection to its pool
-	return viaPeer(ctx, peerpb.NewDRPCStoreClient(conn))
+	value, err := viaPeer(callCtx, peerpb.NewDRPCStoreClient(conn))
+	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+		s.recordTimeout(timeout)
+	}
+	return value, err
+}
+
+// recordTimeout records a call that was given up after a time, without the wait that it asked for.
+func (s *Store) recordTimeout(after time.Duration) {
+	s.mu.Lock()
+	s.paths.RecordTimeout(after)
+	s.mu.Unlock()
 }
 
 // RunProbes probes the own path when a call has failed there, and then repeatedly until it
--- a/policy/pathselect/pathselect.go
+++ b/policy/pathselect/pathselect.go
@@ -95,6 +95,12 @@
 	return min(maxTimeout, max(minTimeout, timeoutFactor*ps.meanLatency))
 }
 
+// RecordTimeout records a call through a peer that was given up after a time: the store may have become as slow
+// for all instances.
+func (ps *Paths) RecordTimeout(after time.Duration) {
+	ps.meanLatency += time.Duration(latencyWeight * float64(max(0, after-ps.meanLatency)))
+}
+
 // RecordPeerFailure records that a peer failed to relay a call.
 func (ps *Paths) RecordPeerFailure(now time.Time, name string) {
 	ps.cooldownUntil[name] = now.Add(peerCooldown)
--- a/policy/pathselect/pathselect_test.go
+++ b/policy/pathselect/pathselect_test.go
@@ -86,3 +86,21 @@
 		t.Fatalf("at high latency: %v", p)
 	}
 }
+
+// Guards against an instance without a path of its own whose calls through peers never succeed once the store is
+// slow, since the time that it gives them does not grow.
+func TestTimeoutsOfRelayedCallsGrow(t *testing.T) {
+	const slow = 240 * time.Millisecond
+	paths := NewPaths()
+	paths.RecordSuccess(4 * time.Millisecond)
+	calls := 0
+	for ; paths.AttemptTimeout() < 2*slow && calls < 10; calls++ {
+		paths.RecordTimeout(paths.AttemptTimeout())
+	}
+	if calls > 4 {
+		t.Errorf("the timeout is %v after %d calls that were given up", paths.AttemptTimeout(), calls)
+	}
+	if paths.RecordTimeout(time.Minute); paths.AttemptTimeout() > maxTimeout {
+		t.Errorf("the timeout is %v", paths.AttemptTimeout())
+	}
+}
