--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -184,6 +184,7 @@
 		copyEndToEndHeaders(c.writer.Header(), response.Header)
 		c.writer.WriteHeader(response.Status)
 	}
+	c.waitsSince = time.Time{}
 	if event.HasID {
 		c.lastEvent, c.numbered = event.ID, true
 	}
