policy/fairshare: ends that empty the queue count in the measured rate

The rate at which requests end is measured over windows of 100 ms in which all slots are taken. A window was dropped when the queue became empty within it. Requests that began together end together: the windows with many ends emptied the queue and were dropped, those between them were kept, and the rate fell far below that of the servers. Fewer requests were admitted then, so that the queue was empty still more often, and a workspace below its share counted as above it and was rejected.

A window in which the queue becomes empty now raises the rate if the requests that certainly ended in it, over the whole length of a window, are more than the rate. It never lowers the rate, and does not set it where none is known.

--- a/policy/fairshare/rate.go
+++ b/policy/fairshare/rate.go
@@ -31,6 +31,9 @@
 	elapsed := now.Sub(e.since)
 	switch {
 	case waiting <= 0:
+		if !e.since.IsZero() {
+			e.observeEmptied(now, elapsed)
+		}
 		e.since = time.Time{}
 		return
 	case e.since.IsZero():
@@ -53,6 +56,16 @@
 	e.since, e.waiting, e.admitted = now, waiting, 0
 }
 
+// observeEmptied records that the queue has become empty within a window. At least as many requests
+// have ended as waited and were admitted, which may raise the rate: if requests that began together
+// empty the queue whenever they end, the windows that are left have few ends.
+func (e *endRate) observeEmptied(now time.Time, elapsed time.Duration) {
+	atLeast := float64(e.admitted+e.waiting) / max(elapsed, endRateWindow).Seconds()
+	if e.perSecond > 0 && atLeast > e.perSecond {
+		e.perSecond, e.measuredAt = e.perSecond+endRateSmoothing*(atLeast-e.perSecond), now
+	}
+}
+
 // endRate returns the number of requests that end in a second; zero if it is not known.
 func (s *service) endRate(now time.Time, room Room) float64 {
 	expected := 0.0
