node/peers: tests in virtual time are a function of the seed

What became of a datagram was drawn in the order in which the instances sent, so that the order of goroutines at the same virtual time decided on all delays and losses after it.

The network draws by a hash of seed, sender, receiver, content and number of equal datagrams. The content is hashed without its order, since lists in it are in the order of a map. The tests wait with synctest.Wait where the order of goroutines at one virtual time changed the outcome: between the starts of an instance's tasks, in waitFor, and in TestSharesWhileTheHubIsLost after each step. synctest fires timers of the same time in random order, so that a seed of the network alone does not determine a play.

Checks, bounds and seeds are as they were.

--- a/node/peers/network_test.go
+++ b/node/peers/network_test.go
@@ -1,32 +1,47 @@
 package peers
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 )
 
-// network delivers datagrams between instances in virtual time, late and with losses.
+// network delivers datagrams between instances in virtual time, late and with losses. What becomes
+// of a datagram depends on the seed and on the datagram, not on the order in which goroutines send
+// at the same time.
 type network struct {
 	mu     sync.Mutex
 	conns  map[netip.AddrPort]*fakeConn
+	seed   uint64
 	random *rand.Rand
+	// sent counts the equal datagrams.
+	sent map[datagram]uint64
 	// minDelay and maxDelay bound the delay of a datagram, and loss is the share that is
 	// lost.
 	minDelay, maxDelay time.Duration
 	loss               float64
 }
 
+// datagram identifies what one instance sends to another. The content is the hash of its bytes in
+// ascending order, since lists in it are in the order of a map.
+type datagram struct {
+	from, to netip.AddrPort
+	content  uint64
+}
+
 func newNetwork(seed uint64) *network {
 	return &network{
-		conns: map[netip.AddrPort]*fakeConn{}, random: rand.New(rand.NewPCG(seed, 1)),
+		conns: map[netip.AddrPort]*fakeConn{}, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), sent: map[datagram]uint64{},
 		minDelay: 200 * time.Microsecond, maxDelay: 2 * time.Millisecond,
 	}
 }
@@ -93,11 +108,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	target := n.conns[to]
-	if target == nil || n.random.Float64() < n.loss {
+	d := datagram{c.address, to, xxhash.Sum64(slices.Sorted(slices.Values(b)))}
+	n.sent[d]++
+	random := rand.New(rand.NewPCG(n.seed, xxhash.Sum64String(fmt.Sprint(d.from, d.to, d.content, n.sent[d]))))
+	if target == nil || random.Float64() < n.loss {
 		return len(b), nil
 	}
 	p := packet{append([]byte(nil), b...), c.address}
-	delay := n.minDelay + time.Duration(n.random.Int64N(int64(n.maxDelay-n.minDelay)+1))
+	delay := n.minDelay + time.Duration(random.Int64N(int64(n.maxDelay-n.minDelay)+1))
 	delay += max(0, time.Until(c.pausedUntil), time.Until(target.pausedUntil))
 	time.AfterFunc(delay, func() {
 		select {
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
@@ -157,6 +158,8 @@
 	var running sync.WaitGroup
 	for _, task := range []func(context.Context){group.Receive, group.SendReports, group.CheckOutages, func(ctx context.Context) { group.Announce(ctx, 100*time.Millisecond) }} {
 		running.Go(func() { task(ctx) })
+		// What the instance does at its start does not depend on which of its goroutines is first.
+		synctest.Wait()
 	}
 	var once sync.Once
 	n.stop = func() { once.Do(func() { cancel(); running.Wait() }) }
@@ -167,6 +170,7 @@
 func waitFor(t *testing.T, failure string, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		synctest.Wait() // for what the instances do at this time
 		if done() {
 			return
 		}
--- a/node/peers/shares_test.go
+++ b/node/peers/shares_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jacinthnotch/jacinthnotch/domain/serving"
@@ -47,12 +48,15 @@
 		nodes = slices.DeleteFunc(nodes, func(n *node) bool { return n == lost })
 		var held []heldLease
 		freeAt := map[string][]time.Time{} // by server, when each slot is free
+		// After each step the instances do what they have to at that time, so that it does not vary
+		// which load a report includes.
 		play := func(length time.Duration) map[string]*shareCounts {
 			counts := map[string]*shareCounts{"small": {}, "hot": {}}
 			var turns []returning
 			place := func(n *node, name string, again bool) {
 				q := balance.Query{Service: "svc", Workspace: name, Objective: objective, Left: 5 * time.Second, RunTime: runTime}
 				lease, rejection := n.group.Place(q)
+				synctest.Wait()
 				if !again {
 					counts[name].asked++
 				}
@@ -89,6 +93,7 @@
 					ended := !time.Now().Before(h.until)
 					if ended {
 						h.lease.End(balance.Answered)
+						synctest.Wait()
 					}
 					return ended
 				})
@@ -106,6 +111,7 @@
 					return due
 				})
 				time.Sleep(10 * time.Millisecond)
+				synctest.Wait()
 			}
 			return counts
 		}
