--- a/review/third/main.go
+++ b/review/third/main.go
@@ -17,7 +17,7 @@
 )
 
 // cases are the cases by their names; trouble is false for the same without the disruption.
-var cases = map[string]func(trouble bool) int{"leak": leak}
+var cases = map[string]func(trouble bool) int{"leak": leak, "bound": bound}
 
 func main() {
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
