--- a/node/serve/serve.go
+++ b/node/serve/serve.go
@@ -202,6 +202,7 @@
 	metrics.Set("gateway", i.gateway.Metrics.Map())
 	metrics.Set("pace", i.view.PaceMetrics())
 	metrics.Set("reserve", i.view.ReserveMetrics())
+	metrics.Set("grants", i.view.GrantMetrics())
 	metrics.Set("containment", i.group.ContainmentMetrics())
 	metrics.Set("workspace_quotas", i.group.QuotaMetrics())
 	metrics.Set("shares", i.group.ShareMetrics())
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -176,6 +176,8 @@
 	Sequence uint64
 	Server   string
 	Class    Class
+	// at is the time of the grant.
+	at time.Time
 }
 
 // peerReport is the load that a peer reported last, and what it was granted since.
@@ -351,6 +353,7 @@
 		r = &peerReport{receivedAt: now}
 		t.peers[name] = r
 	}
+	g.at = now
 	r.grants = append(r.grants, g)
 	t.recordRateGrant(name, g)
 	if s := t.servers[g.Server]; s != nil {
