peers: what a hub keeps of an instance belongs to one process of it

Cause: a hub keeps a grant until a load report includes its sequence number. The numbers begin anew with each process, but grants are kept by the instance's name, so that the reports of a new process never include those of the one before. Evidence: grants.unreported at the hub is 57 after the eighth kill and stays there, its oldest_ms rises to 34,000.

Change: loads and grants of a peer end with its process (ObserveProcess, by the incarnation of load reports and, new, of placement requests). Late datagrams of a replaced process are ignored. Sequence numbers begin at the time of day, so that a hub of the build before drops them too.

--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -482,17 +482,18 @@
 }
 
 // PickForPeer picks a server for a peer's request and counts the request there until the
-// peer's reports include it.
-func (v *View) PickForPeer(peer string, sequence uint64, q balance.Query) (balance.Choice, bool) {
+// peer's reports include it. The incarnation is that of the peer's process, zero if not known.
+func (v *View) PickForPeer(peer string, incarnation uint32, sequence uint64, q balance.Query) (balance.Choice, bool) {
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.table.ObserveProcess(peer, incarnation)
 	if v.table.IsIncluded(peer, sequence) {
 		return balance.Choice{}, false // the peer does not wait for the reply any more
 	}
 	choice, ok := v.table.Pick(now, q)
 	if ok {
-		v.table.Grant(now, peer, balance.Grant{Sequence: sequence, Server: choice.Server.ID, Class: q.Class})
+		v.table.Grant(now, peer, balance.Grant{Sequence: sequence, Incarnation: incarnation, Server: choice.Server.ID, Class: q.Class})
 	}
 	return choice, ok
 }
@@ -548,11 +549,11 @@
 }
 
 // UpdatePeer replaces a peer's report with its loads by server. The loads include the
-// grants up to the sequence number includedGrants.
-func (v *View) UpdatePeer(name string, loads map[string]balance.Load, includedGrants uint64) {
+// grants to the process with that incarnation up to the sequence number includedGrants.
+func (v *View) UpdatePeer(name string, incarnation uint32, loads map[string]balance.Load, includedGrants uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.table.UpdatePeer(time.Now(), name, loads, includedGrants)
+	v.table.UpdatePeer(time.Now(), name, incarnation, loads, includedGrants)
 }
 
 // UpdateHubTotal records the load of all instances that a hub reports. The requests in
@@ -568,7 +569,7 @@
 		}
 		total[id] = l
 	}
-	v.table.UpdatePeer(now, hubTotalName, total, 0)
+	v.table.UpdatePeer(now, hubTotalName, 0, total, 0)
 }
 
 // RemovePeer drops the report and the grants of a peer.
--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -68,8 +68,8 @@
 	}
 	now := time.Now()
 	g.mu.Lock()
-	p := g.recordHeard(report.Name, from)
-	if g.peers[report.Name] == nil {
+	p := g.recordProcess(report.Name, report.Incarnation, from)
+	if p == nil || g.peers[report.Name] == nil {
 		g.mu.Unlock()
 		return
 	}
@@ -87,7 +87,7 @@
 		g.opt.View.RemoveHubTotal()
 		g.wake()
 	}
-	g.opt.View.UpdatePeer(report.Name, loads, report.IncludedGrants)
+	g.opt.View.UpdatePeer(report.Name, report.Incarnation, loads, report.IncludedGrants)
 	if isFirst {
 		g.sendFullRoster(p, from)
 	}
@@ -219,7 +219,11 @@
 func (g *Group) onRoster(report *rosterReport, from netip.AddrPort) {
 	now := time.Now()
 	g.mu.Lock()
-	p := g.recordHeard(report.Name, from)
+	p := g.recordProcess(report.Name, report.Incarnation, from)
+	if p == nil {
+		g.mu.Unlock()
+		return
+	}
 	complete := p.roster.apply(report)
 	for h, i := range p.roster.members {
 		if listed := g.peersByHash[h]; listed != nil {
@@ -322,7 +326,10 @@
 // onServerRequest picks a server for a request of a peer that does not know placement requests,
 // and replies with a grant.
 func (g *Group) onServerRequest(request *serverRequest, from netip.AddrPort) {
-	choice, rejection := g.placeForPeer(request, request.query(), from)
+	g.mu.Lock()
+	g.recordHeard(request.Name, from)
+	g.mu.Unlock()
+	choice, rejection := g.placeForPeer(request, 0, request.query())
 	reply := &grant{Sequence: request.Sequence}
 	if rejection == nil {
 		reply.Server = hash(choice.Server.ID)
@@ -333,11 +340,17 @@
 
 // onPlacementRequest picks a server for a peer's request and replies with a placement.
 func (g *Group) onPlacementRequest(request *placementRequest, from netip.AddrPort) {
+	g.mu.Lock()
+	p := g.recordProcess(request.Request.Name, request.Incarnation, from)
+	g.mu.Unlock()
+	if p == nil {
+		return
+	}
 	q := request.query()
 	recent, counted, rejection := g.grantQuota(&request.Request, &q)
 	var choice balance.Choice
 	if rejection == nil {
-		choice, rejection = g.placeForPeer(&request.Request, q, from)
+		choice, rejection = g.placeForPeer(&request.Request, request.Incarnation, q)
 		if rejection != nil && counted {
 			g.dropQuotaGrant(&request.Request)
 		}
@@ -348,9 +361,9 @@
 	g.preemptFor(&request.Request, choice)
 }
 
-// placeForPeer picks a server for a peer's request and counts the request there. The choice has
-// no server if there is a rejection.
-func (g *Group) placeForPeer(request *serverRequest, q balance.Query, from netip.AddrPort) (balance.Choice, *balance.Rejection) {
+// placeForPeer picks a server for a peer's request and counts the request there. The incarnation is that of
+// the peer's process, zero if not known. The choice has no server if there is a rejection.
+func (g *Group) placeForPeer(request *serverRequest, incarnation uint32, q balance.Query) (balance.Choice, *balance.Rejection) {
 	// The peer could take the hash of an ambiguous server for that of another one.
 	if ambiguous := g.ambiguousServers(); len(request.Avoid)+len(ambiguous) > 0 {
 		q.Tried = map[string]bool{}
@@ -363,7 +376,6 @@
 	}
 	now := time.Now()
 	g.mu.Lock()
-	g.recordHeard(request.Name, from)
 	warm := g.hub.warm(now)
 	g.mu.Unlock()
 	if !warm && request.Class == balance.Batch {
@@ -372,7 +384,7 @@
 	if rejection := g.checkShare(&q); rejection != nil {
 		return balance.Choice{}, rejection
 	}
-	choice, ok := g.opt.View.PickForPeer(request.Name, request.Sequence, q)
+	choice, ok := g.opt.View.PickForPeer(request.Name, incarnation, request.Sequence, q)
 	if !ok {
 		return balance.Choice{}, g.opt.View.Rejection(q)
 	}
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -228,6 +228,8 @@
 	Bytes int64 `cbor:"9,keyasint,omitempty"`
 	// Waiting is the number of batch requests that wait at the requesting instance.
 	Waiting int `cbor:"10,keyasint,omitempty"`
+	// Incarnation is that of the requesting instance's process; zero from instances that do not state it.
+	Incarnation uint32 `cbor:"11,keyasint,omitempty"`
 }
 
 // promptSegment is a segment of a prompt.
--- a/node/peers/origins.go
+++ b/node/peers/origins.go
@@ -37,7 +37,7 @@
 }
 
 func newOriginQuestions() originQuestions {
-	return originQuestions{pending: map[uint64]chan *originReply{}, answering: make(chan struct{}, maxOriginAnswers)}
+	return originQuestions{sequence: firstSequence(time.Now()), pending: map[uint64]chan *originReply{}, answering: make(chan struct{}, maxOriginAnswers)}
 }
 
 // ActsAsFirstHub reports whether this instance is the hub that all instances ask, or has to
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -126,7 +126,7 @@
 	}
 	g := &Group{
 		opt: opt, conn: opt.Conn, wakeups: make(chan struct{}, 1), peers: map[string]*peer{}, peersByHash: map[uint32]*peer{},
-		pending: map[uint64]chan placement{}, preemptions: newPreemptionLog(),
+		pending: map[uint64]chan placement{}, preemptions: newPreemptionLog(), lastSequence: firstSequence(time.Now()),
 		origins: newOriginQuestions(), outages: newOutageCheck(), containment: newContainment(opt.Name), quota: newQuotaState(opt.Name),
 	}
 	opt.View.NotifyLoadChanges(g.wake)
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -129,6 +129,18 @@
 	return len(n.preempted)
 }
 
+// newServersView returns the view of an instance that knows servers of the service svc.
+func newServersView(servers, slots int) *fleet.View {
+	view := fleet.NewView(rand.New(rand.NewPCG(1, 2)))
+	var entries []port.Entry[serving.Server]
+	for i := range servers {
+		id := fmt.Sprintf("s%d", i)
+		entries = append(entries, port.Entry[serving.Server]{Key: id, Value: &serving.Server{ID: id, Service: "svc", Address: id, Slots: slots}})
+	}
+	view.ApplyServers(entries, true)
+	return view
+}
+
 func startNode(t *testing.T, net *network, f *fakeFeed, name string, servers, slots int) *node {
 	t.Helper()
 	return startNodeWithPath(t, net, f, name, servers, slots, nil)
@@ -138,16 +150,15 @@
 // reachesStore returns true.
 func startNodeWithPath(t *testing.T, net *network, f *fakeFeed, name string, servers, slots int, reachesStore func() bool) *node {
 	t.Helper()
-	n := &node{name: name, view: fleet.NewView(rand.New(rand.NewPCG(1, 2)))}
-	var entries []port.Entry[serving.Server]
-	for i := range servers {
-		id := fmt.Sprintf("s%d", i)
-		entries = append(entries, port.Entry[serving.Server]{Key: id, Value: &serving.Server{ID: id, Service: "svc", Address: id, Slots: slots}})
-	}
-	n.view.ApplyServers(entries, true)
-	conn := net.open()
+	return startProcess(t, net.open(), f, name, 1, servers, slots, reachesStore)
+}
+
+// startProcess starts the process of an instance with an incarnation.
+func startProcess(t *testing.T, conn *fakeConn, f *fakeFeed, name string, incarnation uint32, servers, slots int, reachesStore func() bool) *node {
+	t.Helper()
+	n := &node{name: name, view: newServersView(servers, slots)}
 	group, err := NewGroup(Options{
-		Name: name, Cores: 1, Incarnation: 1, Listen: conn.address.String(), Conn: conn, View: n.view, Feed: f,
+		Name: name, Cores: 1, Incarnation: incarnation, Listen: conn.address.String(), Conn: conn, View: n.view, Feed: f,
 		ReachesStore: reachesStore, StoreUpFor: n.storeUpFor, OnPreempt: n.preempt,
 	})
 	if err != nil {
@@ -354,7 +365,7 @@
 func TestPreemptionWhileAnAddressChanges(t *testing.T) {
 	inVirtualTime(t, 1, func(t *testing.T, net *network) {
 		n := startNode(t, net, &fakeFeed{entries: map[string]Instance{}}, "n0", 1, 8)
-		n.view.UpdatePeer("n1", map[string]balance.Load{"s0": {Counts: balance.Counts{balance.Batch: 1}}}, 0)
+		n.view.UpdatePeer("n1", 1, map[string]balance.Load{"s0": {Counts: balance.Counts{balance.Batch: 1}}}, 0)
 		var wait sync.WaitGroup
 		wait.Go(func() {
 			for i := range 100 {
--- a/node/peers/place.go
+++ b/node/peers/place.go
@@ -129,7 +129,9 @@
 		SlackMs: q.Slack.Milliseconds(), LeftMs: q.Left.Milliseconds(), RunMs: q.RunTime.Milliseconds(),
 	}
 	if protocol >= protocolPlacements {
-		g.send(kindPlacementRequest, newPlacementRequest(request, &q), to)
+		placementRequest := newPlacementRequest(request, &q)
+		placementRequest.Incarnation = g.opt.Incarnation
+		g.send(kindPlacementRequest, placementRequest, to)
 	} else {
 		g.send(kindServerRequest, request, to)
 	}
--- a/node/peers/quota.go
+++ b/node/peers/quota.go
@@ -427,7 +427,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p := g.peersByHash[report.Instance]; p != nil {
+	if p := g.peersByHash[report.Instance]; p != nil && p.process.observe(time.Now(), report.Incarnation) {
 		r.Instance = p.name
 		g.quota.table.Apply(time.Now(), r)
 	}
--- a/node/peers/rank.go
+++ b/node/peers/rank.go
@@ -57,6 +57,8 @@
 	suspendedUntil time.Time
 	// quotaReports is the state of the quota reports to it.
 	quotaReports quotaReportState
+	// process tells late datagrams of its earlier processes.
+	process processHistory
 }
 
 // setAddress sets the address at which the peer receives datagrams and calls.
--- a/node/peers/roster_test.go
+++ b/node/peers/roster_test.go
@@ -3,13 +3,11 @@
 import (
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
-	"github.com/jacinthnotch/jacinthnotch/domain/serving"
 	"github.com/jacinthnotch/jacinthnotch/node/fleet"
 	"github.com/jacinthnotch/jacinthnotch/node/port"
 	"github.com/jacinthnotch/jacinthnotch/policy/balance"
@@ -151,12 +149,5 @@
 
 // newView returns a view with a service of servers of 8 slots.
 func newView(servers int) *fleet.View {
-	view := fleet.NewView(rand.New(rand.NewPCG(1, 2)))
-	var entries []port.Entry[serving.Server]
-	for i := range servers {
-		id := fmt.Sprint("s", i)
-		entries = append(entries, port.Entry[serving.Server]{Key: id, Value: &serving.Server{ID: id, Service: "svc", Address: id, Slots: 8}})
-	}
-	view.ApplyServers(entries, true)
-	return view
+	return newServersView(servers, 8)
 }
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -131,14 +131,14 @@
 	if inFlight() != 2 {
 		t.Fatalf("%d in flight after two grants, want 2", inFlight())
 	}
-	tb.UpdatePeer(epoch, "peer", map[string]Load{"s00": {Counts: Counts{Online: 1}}}, 1)
+	tb.UpdatePeer(epoch, "peer", 1, map[string]Load{"s00": {Counts: Counts{Online: 1}}}, 1)
 	if inFlight() != 2 {
 		t.Fatalf("%d in flight after a report that includes one of them, want 2", inFlight())
 	}
 	if !tb.IsIncluded("peer", 1) || tb.IsIncluded("peer", 2) {
 		t.Fatal("a request that the peer has given up is not told from one that it waits for")
 	}
-	tb.UpdatePeer(epoch, "peer", map[string]Load{"s00": {Counts: Counts{Online: 1}}}, 2)
+	tb.UpdatePeer(epoch, "peer", 1, map[string]Load{"s00": {Counts: Counts{Online: 1}}}, 2)
 	if inFlight() != 1 {
 		t.Fatalf("%d in flight after a report that includes both, one of which has ended, want 1", inFlight())
 	}
@@ -185,8 +185,8 @@
 	if eligible, _ := tb.evaluate(due.Add(trialTimeout), q); len(eligible) != 1 {
 		t.Fatal("no further trial request after one with an unknown outcome")
 	}
-	tb.UpdatePeer(due, "peer", map[string]Load{"s00": {}}, 0)
-	tb.UpdatePeer(due, "peer", map[string]Load{"s00": {OutcomeCounts: OutcomeCounts{Answered: 1}}}, 0)
+	tb.UpdatePeer(due, "peer", 1, map[string]Load{"s00": {}}, 0)
+	tb.UpdatePeer(due, "peer", 1, map[string]Load{"s00": {OutcomeCounts: OutcomeCounts{Answered: 1}}}, 0)
 	if eligible, _ := tb.evaluate(due, Query{Service: "svc", AtMostOnce: true}); len(eligible) != 1 {
 		t.Fatal("a server that answered a peer is not eligible")
 	}
@@ -197,7 +197,7 @@
 func TestPeerOutcomesCountTowardsFailureRate(t *testing.T) {
 	tb := newTestTable(4, 8)
 	for i := range uint32(12) {
-		tb.UpdatePeer(epoch, "peer", map[string]Load{"s00": {OutcomeCounts: OutcomeCounts{Answered: 6 * i / 10, Failed: 4 * i / 10}}}, 0)
+		tb.UpdatePeer(epoch, "peer", 1, map[string]Load{"s00": {OutcomeCounts: OutcomeCounts{Answered: 6 * i / 10, Failed: 4 * i / 10}}}, 0)
 	}
 	for range 100 {
 		if c := mustPick(t, tb, Query{AtMostOnce: true}); c.Server.ID == "s00" {
@@ -205,8 +205,8 @@
 		}
 	}
 	// The counts of a peer that was restarted begin at zero.
-	tb.UpdatePeer(epoch, "peer", map[string]Load{"s01": {OutcomeCounts: OutcomeCounts{Answered: 5, Failed: 1}}}, 0)
-	tb.UpdatePeer(epoch, "peer", map[string]Load{"s01": {OutcomeCounts: OutcomeCounts{Answered: 1}}}, 0)
+	tb.UpdatePeer(epoch, "peer", 1, map[string]Load{"s01": {OutcomeCounts: OutcomeCounts{Answered: 5, Failed: 1}}}, 0)
+	tb.UpdatePeer(epoch, "peer", 1, map[string]Load{"s01": {OutcomeCounts: OutcomeCounts{Answered: 1}}}, 0)
 	if rate := tb.servers["s01"].failureRate(epoch); rate > failureSmoothing {
 		t.Fatalf("failure rate %.2f after the peer's restart", rate)
 	}
--- a/policy/balance/bench_test.go
+++ b/policy/balance/bench_test.go
@@ -67,7 +67,7 @@
 		id := fmt.Sprintf("s%02d", i)
 		loads[id] = Load{Counts: Counts{Online: i % 5, Batch: i % 3}, StepTime: time.Duration(14+i%24) * time.Millisecond}
 	}
-	tb.UpdatePeer(epoch, "peer", loads, 0)
+	tb.UpdatePeer(epoch, "peer", 1, loads, 0)
 	return tb
 }
 
--- a/policy/balance/load_test.go
+++ b/policy/balance/load_test.go
@@ -109,7 +109,7 @@
 		own := from.OwnLoad(now)
 		for j, to := range tables {
 			if i != j {
-				to.UpdatePeer(now, fmt.Sprint(i), own, 0)
+				to.UpdatePeer(now, fmt.Sprint(i), 1, own, 0)
 			}
 		}
 	}
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -176,6 +176,8 @@
 	Sequence uint64
 	Server   string
 	Class    Class
+	// Incarnation is that of the peer's process; zero if the peer does not state it.
+	Incarnation uint32
 	// at is the time of the grant.
 	at time.Time
 }
@@ -183,7 +185,9 @@
 // peerReport is the load that a peer reported last, and what it was granted since.
 type peerReport struct {
 	receivedAt time.Time
-	loads      map[string]Load
+	// incarnation is that of the peer's process; zero if it is not known.
+	incarnation uint32
+	loads       map[string]Load
 	// included is the sequence number up to which the loads include the peer's grants.
 	included uint64
 	grants   []Grant
@@ -293,14 +297,16 @@
 }
 
 // UpdatePeer replaces a peer's report with its loads by server. The loads include the
-// grants up to the sequence number seen; later grants are kept beside them.
-func (t *Table) UpdatePeer(now time.Time, name string, loads map[string]Load, seen uint64) {
-	next := &peerReport{receivedAt: now, loads: loads, included: seen}
+// grants to the process with that incarnation up to the sequence number seen; later grants are kept
+// beside them for grantTTL.
+func (t *Table) UpdatePeer(now time.Time, name string, incarnation uint32, loads map[string]Load, seen uint64) {
+	t.ObserveProcess(name, incarnation)
+	next := &peerReport{receivedAt: now, incarnation: incarnation, loads: loads, included: seen}
 	if old := t.peers[name]; old != nil {
 		t.recordPeerObservations(now, old.loads, next)
 		t.applyReport(old, -1)
 		for _, g := range old.grants {
-			if g.Sequence > seen {
+			if g.Sequence > seen && now.Sub(g.at) < grantTTL {
 				next.grants = append(next.grants, g)
 			}
 		}
@@ -350,7 +356,7 @@
 func (t *Table) Grant(now time.Time, name string, g Grant) {
 	r := t.peers[name]
 	if r == nil {
-		r = &peerReport{receivedAt: now}
+		r = &peerReport{receivedAt: now, incarnation: g.Incarnation}
 		t.peers[name] = r
 	}
 	g.at = now
