servermemory: a crash limits the servers that have not survived as much, and trials end the limit

Cause: a stop counted as one for want of memory if the server had held more in the last 10 to 20 s than any other was seen to survive, also if it had lived on and was idle; held bytes were an upper estimate over both classes; and the bound limited all servers until one survived more, which it prevented. Evidence: prompts.MaxBytes of two hubs is 29,500 and 1,500 after the crash, grants.unreported and reserve.Held are 0.

Change: only a stop after requests broke on the server, with more than it had survived, gives a bound. Placements count by class. The bound does not limit a server that has survived as much, and a server below it may exceed it as a trial when an item finds no room; trials widen while they go well and back off after a crash. The state is the hub's own: no message or record changes.

TestBytesStayBelowWhatCrashedAServer expected a bound from a server that ran nothing when it stopped, which was the fault; its request now breaks first, and the bound asked for is the same.

--- a/node/fleet/view.go
+++ b/node/fleet/view.go
@@ -642,7 +642,7 @@
 	}
 	maps.DeleteFunc(v.versions, func(_ serviceVersion, at time.Time) bool { return now.Sub(at) > versionMemory })
 	v.servers = next
-	v.table.SetServers(next)
+	v.table.SetServers(time.Now(), next)
 	v.logByteBounds()
 	v.serversVersion.Add(1)
 }
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -18,7 +18,7 @@
 		id := fmt.Sprintf("s%02d", i)
 		list[id] = &serving.Server{ID: id, Service: "svc", Address: id, DataCentre: fmt.Sprint("dc", i%2), Slots: slots}
 	}
-	t.SetServers(list)
+	t.SetServers(epoch, list)
 	return t
 }
 
@@ -142,7 +142,7 @@
 	if inFlight() != 1 {
 		t.Fatalf("%d in flight after a report that includes both, one of which has ended, want 1", inFlight())
 	}
-	tb.SetServers(map[string]*serving.Server{"s00": tb.servers["s00"].server})
+	tb.SetServers(epoch, map[string]*serving.Server{"s00": tb.servers["s00"].server})
 	if inFlight() != 1 {
 		t.Fatalf("%d in flight after the servers were listed again, want 1", inFlight())
 	}
--- a/policy/balance/load_test.go
+++ b/policy/balance/load_test.go
@@ -58,7 +58,7 @@
 	tables := make([]*Table, instances)
 	for i := range tables {
 		tables[i] = NewTable(random)
-		tables[i].SetServers(list)
+		tables[i].SetServers(epoch, list)
 	}
 	tableOf := func(i int) *Table {
 		if hub {
@@ -155,7 +155,7 @@
 			slowdown[id] *= 4.65
 		}
 	}
-	table.SetServers(list)
+	table.SetServers(epoch, list)
 	queue := &eventQueue{{at: epoch}}
 	arrivals, late := 0, 0
 	for queue.Len() > 0 {
--- a/policy/balance/memory_test.go
+++ b/policy/balance/memory_test.go
@@ -55,13 +55,15 @@
 		tb.SetKVCaches(map[string]int64{"svc": 72_000})
 		q := Query{Service: "svc", CompleteView: true, Bytes: 900_000}
 		tb.recordPlacement(epoch, tb.servers["s02"], &q)
+		tb.RequestStarted("s02", Online)
+		tb.RequestEnded(epoch, "s02", Online, Failed)
 		servers := map[string]*serving.Server{}
 		for id, s := range tb.servers {
 			servers[id] = s.server
 		}
 		servers["s02"].Leaving = leaving
 		delete(servers, "s02")
-		tb.SetServers(servers)
+		tb.SetServers(epoch, servers)
 		if bound := tb.PromptStats()["svc"].MaxBytes; (bound > 0) == leaving {
 			t.Errorf("leaving %v: bound %d", leaving, bound)
 		}
--- a/policy/balance/pace_test.go
+++ b/policy/balance/pace_test.go
@@ -95,12 +95,12 @@
 		id := fmt.Sprintf("s%02d", i)
 		list[id] = &serving.Server{ID: id, Service: "svc", Slots: slots}
 	}
-	table.SetServers(list)
+	table.SetServers(epoch, list)
 	// Each instance measures the steps of its own requests and reports the mean.
 	instances := make([]*Table, spellInstances)
 	for i := range instances {
 		instances[i] = NewTable(random)
-		instances[i].SetServers(list)
+		instances[i].SetServers(epoch, list)
 	}
 	index := func(id string) int { return int(id[1]-'0')*10 + int(id[2]-'0') }
 	queue := &eventQueue{{at: epoch}}
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -249,8 +249,8 @@
 		default:
 			tier := s.tier()
 			score := s.score(now, q, tier, median) - s.keptBenefit(kept, &q, meanRecent)
-			if memory.overflows(now, s, &q) {
-				if q.Class == Batch {
+			if room := memory.room(now, s, &q); room != fits {
+				if room == overflows && q.Class == Batch {
 					continue
 				}
 				score += overflowCost
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -62,18 +62,19 @@
 	t.prompts = next
 }
 
-// PromptStats are the counters of the prompt caches of a service, and the number of bytes above
-// which a server is known to crash; zero if none is known.
+// PromptStats are the counters of the prompt caches of a service and of the trials of its servers,
+// and the number of bytes above which a server is known to crash; zero if none is known.
 type PromptStats struct {
 	promptcache.Stats
 	MaxBytes int64
+	Memory   servermemory.Stats
 }
 
 // PromptStats returns the counters by service.
 func (t *Table) PromptStats() map[string]PromptStats {
 	stats := make(map[string]PromptStats, len(t.prompts))
 	for service, p := range t.prompts {
-		stats[service] = PromptStats{p.cache.Stats(), p.bound.Bytes()}
+		stats[service] = PromptStats{p.cache.Stats(), p.bound.Bytes(), p.bound.Stats()}
 	}
 	return stats
 }
--- a/policy/balance/prompt_test.go
+++ b/policy/balance/prompt_test.go
@@ -98,7 +98,7 @@
 		if known {
 			tables[i].SetKVCaches(map[string]int64{"svc": l.capacity})
 		}
-		tables[i].SetServers(list)
+		tables[i].SetServers(epoch, list)
 	}
 	popularity, sum := make([]float64, l.leaves), 0.0
 	for i := range popularity {
@@ -117,7 +117,7 @@
 		if l.restartEvery > 0 && since > time.Duration(restarts+1)*l.restartEvery {
 			start(restarts%l.servers, e.at)
 			restarts++
-			tables[0].SetServers(list)
+			tables[0].SetServers(epoch, list)
 		}
 		if l.instances > 0 && e.at.Sub(reported) > 300*time.Millisecond {
 			reported = e.at
--- a/policy/balance/reserve_test.go
+++ b/policy/balance/reserve_test.go
@@ -93,7 +93,7 @@
 	}
 	newHub := func() *Table {
 		t := NewTable(random)
-		t.SetServers(list)
+		t.SetServers(epoch, list)
 		if load.stated {
 			t.RecordPace("s00", pace.Statement{Pace: pace.Usual, At: epoch})
 		}
--- a/policy/balance/small_test.go
+++ b/policy/balance/small_test.go
@@ -33,7 +33,7 @@
 			list[id] = &serving.Server{ID: id, Service: "svc", Address: id, Slots: slots}
 			total += slots
 		}
-		tb.SetServers(list)
+		tb.SetServers(epoch, list)
 		query := Query{Service: "svc", Class: Batch, Headroom: 1, CompleteView: true}
 		placed := 0
 		for {
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -231,11 +231,11 @@
 
 // SetServers replaces the registered servers. The state of a server is kept unless the
 // server was restarted or its address has changed.
-func (t *Table) SetServers(servers map[string]*serving.Server) {
+func (t *Table) SetServers(now time.Time, servers map[string]*serving.Server) {
 	for id, s := range t.servers {
 		server := servers[id]
 		if server == nil || server.Started != s.server.Started || server.Address != s.server.Address {
-			t.recordStop(s)
+			t.recordStop(now, s)
 			delete(t.servers, id)
 			delete(t.active, id)
 			delete(t.unreportedPaces, id)
@@ -325,6 +325,9 @@
 			continue
 		}
 		since := l.OutcomeCounts.since(old[id].OutcomeCounts)
+		if since.Failed > 0 {
+			s.recordBroken(now)
+		}
 		for range min(since.Failed, maxOutcomesPerReport) {
 			s.recordOutcome(now, 1)
 		}
@@ -471,6 +474,9 @@
 		return
 	}
 	withinSlots := s.inFlight() <= s.slots()
+	if outcome == Failed || outcome == Unreachable {
+		s.recordBroken(now)
+	}
 	s.pace.RequestEnded()
 	s.own[class] = max(0, s.own[class]-1)
 	t.active[server] = s
--- a/policy/leastslack/load_test.go
+++ b/policy/leastslack/load_test.go
@@ -103,7 +103,7 @@
 		list[id] = &serving.Server{ID: id, Service: "svc", Slots: slots}
 		m.speed[id] = serverSpeeds[i%len(serverSpeeds)]
 	}
-	m.table.SetServers(list)
+	m.table.SetServers(epoch, list)
 	return m
 }
 
--- a/policy/servermemory/servermemory.go
+++ b/policy/servermemory/servermemory.go
@@ -14,8 +14,6 @@
 	maxPlacements = 32
 	// maxAge is the age above which a placement does not count: its request has ended, or nearly.
 	maxAge = 20 * time.Second
-	// peakPeriod is the time after which a server that is still up has survived what it held.
-	peakPeriod = 10 * time.Second
 )
 
 // Size is the size of a request.
@@ -25,45 +23,49 @@
 	Tokens, Bytes int64
 }
 
+// InFlight is the number of requests in flight on a server by class.
+type InFlight struct{ Online, Batch int }
+
+// total returns the number over all classes.
+func (n InFlight) total() int { return n.Online + n.Batch }
+
 // Server is what is known of the requests on one start of one server. Which of them have ended is
-// not known, only how many are in flight: the largest ones count as those. Its zero value is a
-// server without requests.
+// not known, only how many of each class are in flight: the largest ones count as those for the
+// most that it may hold, and the smallest ones for the least. Its zero value is a server without
+// requests.
 type Server struct {
 	// total is the size of all remembered placements.
 	total      Size
 	placements [maxPlacements]placement
 	next       int
-	// peak is the most bytes held since peakSince, and lastPeak that of the period before.
-	peak, lastPeak int64
-	peakSince      time.Time
+	survival   survival
 }
 
 type placement struct {
 	Size
-	at time.Time
+	batch bool
+	at    time.Time
 }
 
 // Add records a request that is placed on the server, on which inFlight requests run then
 // with it.
-func (s *Server) Add(now time.Time, size Size, inFlight int) {
+func (s *Server) Add(now time.Time, size Size, batch bool, inFlight InFlight) {
 	p := &s.placements[s.next]
 	s.next = (s.next + 1) % maxPlacements
 	s.total.Tokens += size.Tokens - p.Tokens
 	s.total.Bytes += size.Bytes - p.Bytes
-	*p = placement{size, now}
-	if bytes := s.Bytes(now, inFlight); bytes > s.peak {
-		s.peak = bytes
-	}
+	*p = placement{size, batch, now}
+	s.survival.rise(now, s.leastBytes(now, inFlight))
 }
 
-// Tokens returns the most tokens that n requests in flight hold.
-func (s *Server) Tokens(now time.Time, n int) int64 {
-	return s.largest(now, n, s.total.Tokens, func(z Size) int64 { return z.Tokens })
+// Tokens returns the most tokens that requests in flight hold.
+func (s *Server) Tokens(now time.Time, inFlight InFlight) int64 {
+	return s.most(now, inFlight, s.total.Tokens, func(z Size) int64 { return z.Tokens })
 }
 
-// Bytes returns the most bytes that n requests in flight hold.
-func (s *Server) Bytes(now time.Time, n int) int64 {
-	return s.largest(now, n, s.total.Bytes, func(z Size) int64 { return z.Bytes })
+// Bytes returns the most bytes that requests in flight hold.
+func (s *Server) Bytes(now time.Time, inFlight InFlight) int64 {
+	return s.most(now, inFlight, s.total.Bytes, func(z Size) int64 { return z.Bytes })
 }
 
 // MayExceed reports whether requests in flight may hold more than the given size; a zero means
@@ -72,58 +74,55 @@
 	return limit.Tokens > 0 && s.total.Tokens > limit.Tokens || limit.Bytes > 0 && s.total.Bytes > limit.Bytes
 }
 
-// largest returns the sum of the n largest recent placements.
-func (s *Server) largest(now time.Time, n int, total int64, of func(Size) int64) int64 {
-	if total == 0 || n <= 0 {
+// most returns the sum of the largest recent placements of each class.
+func (s *Server) most(now time.Time, inFlight InFlight, total int64, of func(Size) int64) int64 {
+	if total == 0 || inFlight.total() <= 0 {
 		return 0
 	}
-	var buffer [maxPlacements]int64
-	sizes := buffer[:0]
-	for _, p := range s.placements {
-		if now.Sub(p.at) <= maxAge {
-			sizes = append(sizes, of(p.Size))
-		}
-	}
-	slices.Sort(sizes)
-	var sum int64
-	for _, size := range sizes[max(0, len(sizes)-n):] {
-		sum += size
-	}
-	if excess := n - len(sizes); excess > 0 && len(sizes) == maxPlacements {
-		sum += sum / maxPlacements * int64(excess)
+	var online, batch [maxPlacements]int64
+	onlineSizes, batchSizes := s.recent(now, of, online[:0], batch[:0])
+	known := len(onlineSizes) + len(batchSizes)
+	sum := sumLargest(onlineSizes, inFlight.Online) + sumLargest(batchSizes, inFlight.Batch)
+	counted := min(inFlight.Online, len(onlineSizes)) + min(inFlight.Batch, len(batchSizes))
+	if excess := inFlight.total() - counted; excess > 0 && known == maxPlacements && counted > 0 {
+		sum += sum / int64(counted) * int64(excess)
 	}
 	return sum
 }
 
-// Bound is the number of bytes that the servers of a service can hold, as learned from crashes.
-// Its zero value knows none.
-type Bound struct {
-	// survived is the most bytes that a server held and survived, and bytes the least that one
-	// held that crashed; zero if none did with more than what was survived.
-	survived, bytes int64
+// leastBytes returns the least bytes that requests in flight hold: the sum of the smallest recent
+// placements of each class.
+func (s *Server) leastBytes(now time.Time, inFlight InFlight) int64 {
+	var online, batch [maxPlacements]int64
+	onlineSizes, batchSizes := s.recent(now, func(z Size) int64 { return z.Bytes }, online[:0], batch[:0])
+	return sumSmallest(onlineSizes, inFlight.Online) + sumSmallest(batchSizes, inFlight.Batch)
 }
 
-// Bytes returns the bound, or zero if none is known.
-func (b *Bound) Bytes() int64 { return b.bytes }
-
-// Observe records what a server that is up has survived. It must be called at each placement.
-func (b *Bound) Observe(now time.Time, s *Server) {
-	if now.Sub(s.peakSince) < peakPeriod {
-		return
-	}
-	if b.survived = max(b.survived, s.lastPeak); b.bytes > 0 && b.survived >= b.bytes {
-		b.bytes = 0
+// recent appends the sizes of the recent placements of each class in ascending order.
+func (s *Server) recent(now time.Time, of func(Size) int64, online, batch []int64) (onlineSizes, batchSizes []int64) {
+	for _, p := range s.placements {
+		switch {
+		case now.Sub(p.at) > maxAge:
+		case p.batch:
+			batch = append(batch, of(p.Size))
+		default:
+			online = append(online, of(p.Size))
+		}
 	}
-	s.lastPeak, s.peak, s.peakSince = s.peak, 0, now
+	slices.Sort(online)
+	slices.Sort(batch)
+	return online, batch
 }
 
-// RecordCrash records that a server crashed. It speaks for a bound only if the server held more
-// than others survived: servers crash for other reasons too. It reports whether the bound changed.
-func (b *Bound) RecordCrash(s *Server) bool {
-	held := max(s.peak, s.lastPeak)
-	if held <= b.survived || b.bytes > 0 && held >= b.bytes {
-		return false
+// sumLargest returns the sum of the n largest of ascending sizes, or of all if there are fewer.
+func sumLargest(sizes []int64, n int) int64 { return sum(sizes[max(0, len(sizes)-max(0, n)):]) }
+
+// sumSmallest returns the sum of the n smallest of ascending sizes, or of all if there are fewer.
+func sumSmallest(sizes []int64, n int) int64 { return sum(sizes[:min(len(sizes), max(0, n))]) }
+
+func sum(sizes []int64) (sum int64) {
+	for _, size := range sizes {
+		sum += size
 	}
-	b.bytes = held
-	return true
+	return sum
 }
--- a/policy/servermemory/servermemory_test.go
+++ b/policy/servermemory/servermemory_test.go
@@ -11,9 +11,9 @@
 // forgotten while small ones come and go beside them.
 func TestLargestRecentPlacementsCount(t *testing.T) {
 	var s Server
-	s.Add(epoch, Size{Tokens: 50_000, Bytes: 900}, 1)
+	s.Add(epoch, Size{Tokens: 50_000, Bytes: 900}, false, InFlight{Online: 1})
 	for i := range 20 {
-		s.Add(epoch.Add(time.Duration(i)*100*time.Millisecond), Size{Tokens: 100, Bytes: 1}, 3)
+		s.Add(epoch.Add(time.Duration(i)*100*time.Millisecond), Size{Tokens: 100, Bytes: 1}, false, InFlight{Online: 3})
 	}
 	for name, c := range map[string]struct {
 		after    time.Duration
@@ -26,7 +26,7 @@
 		"the large one is done": {maxAge + 200*time.Millisecond, 3, 300},
 		"all are done":          {2 * maxAge, 3, 0},
 	} {
-		if tokens := s.Tokens(epoch.Add(c.after), c.inFlight); tokens != c.want {
+		if tokens := s.Tokens(epoch.Add(c.after), InFlight{Online: c.inFlight}); tokens != c.want {
 			t.Errorf("%s: %d tokens, want %d", name, tokens, c.want)
 		}
 	}
@@ -34,39 +34,26 @@
 		t.Error("the sum of all placements is not an upper limit")
 	}
 	for range maxPlacements {
-		s.Add(epoch.Add(maxAge), Size{Tokens: 10}, 1)
+		s.Add(epoch.Add(maxAge), Size{Tokens: 10}, false, InFlight{Online: 1})
 	}
-	if tokens := s.Tokens(epoch.Add(maxAge), 2*maxPlacements); tokens != 2*maxPlacements*10 {
+	if tokens := s.Tokens(epoch.Add(maxAge), InFlight{Online: 2 * maxPlacements}); tokens != 2*maxPlacements*10 {
 		t.Errorf("%d tokens of more requests than are remembered", tokens)
 	}
 }
 
-// Guards against a bound that is learned from servers that crash for other reasons, and against
-// one that lasts although servers survive more.
-func TestBoundIsLearnedFromCrashes(t *testing.T) {
-	var b Bound
-	server := func(bytes int64) *Server {
-		s := &Server{peakSince: epoch}
-		s.Add(epoch, Size{Bytes: bytes}, 1)
-		return s
-	}
-	survives := func(bytes int64) {
-		s := server(bytes)
-		for range 2 {
-			b.Observe(s.peakSince.Add(peakPeriod), s)
+// Guards against items that have ended and still count because online requests are in flight.
+func TestPlacementsCountByClass(t *testing.T) {
+	var s Server
+	for i := range 3 {
+		s.Add(epoch, Size{Bytes: int64(1000 * (i + 1))}, true, InFlight{Batch: i + 1})
+		s.Add(epoch, Size{Bytes: 10}, false, InFlight{Online: i + 1, Batch: i + 1})
+	}
+	for _, c := range []struct {
+		inFlight    InFlight
+		most, least int64
+	}{{InFlight{}, 0, 0}, {InFlight{Online: 2}, 20, 20}, {InFlight{Online: 1, Batch: 1}, 3010, 1010}, {InFlight{Batch: 2}, 5000, 3000}, {InFlight{Online: 9, Batch: 9}, 6030, 6030}} {
+		if most, least := s.Bytes(epoch, c.inFlight), s.leastBytes(epoch, c.inFlight); most != c.most || least != c.least {
+			t.Errorf("%+v: %d to %d bytes, want %d to %d", c.inFlight, least, most, c.least, c.most)
 		}
 	}
-	survives(100)
-	if b.RecordCrash(server(90)) || b.Bytes() != 0 {
-		t.Error("a crash with less than others survived gives a bound")
-	}
-	if !b.RecordCrash(server(500)) || b.Bytes() != 500 || b.RecordCrash(server(600)) || !b.RecordCrash(server(400)) {
-		t.Errorf("bound %d after crashes with 400 to 600 bytes", b.Bytes())
-	}
-	if survives(300); b.Bytes() != 400 {
-		t.Errorf("bound %d, 300 bytes were survived", b.Bytes())
-	}
-	if survives(450); b.Bytes() != 0 {
-		t.Errorf("bound %d, 450 bytes were survived", b.Bytes())
-	}
 }
