peers: a mark that an instance is leaving ends with its process

Callers could see an item run by two holders' claims in turn: a job was claimed from a holder that lives.

Cause: the mark was kept by the name of the peer and only taken back by a load report, which a former hub gets no more.

Change: the mark holds the incarnation of the process. Nothing of it is sent, so that builds can be mixed.

Test: TestInstanceThatLeftIsAliveAfterItsRestart, which found incarnation 0 (not alive) before and 2 now.

--- a/node/peers/hub.go
+++ b/node/peers/hub.go
@@ -73,7 +73,10 @@
 		g.mu.Unlock()
 		return
 	}
-	p.Incarnation, p.leaving, p.reachesStore, p.protocol = report.Incarnation, report.Leaving, report.ReachesStore, report.Protocol
+	p.Incarnation, p.reachesStore, p.protocol = report.Incarnation, report.ReachesStore, report.Protocol
+	if report.Leaving {
+		p.leavingIncarnation = report.Incarnation
+	}
 	isFirst := now.Sub(p.reportedAt) > heardTTL
 	p.reportedAt = now
 	becameHub := !g.hub.active
@@ -180,7 +183,7 @@
 		list[name] = liveInstance{Name: name, Incarnation: g.opt.Incarnation, ReachesStore: g.reachesStore}
 	}
 	for h, p := range g.peersByHash {
-		if now.Sub(p.heardAt) < heardTTL && !p.leaving {
+		if now.Sub(p.heardAt) < heardTTL && !p.leaving() {
 			list[h] = liveInstance{Name: h, Incarnation: p.Incarnation, ReachesStore: p.reachesStore}
 		}
 	}
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -288,7 +288,7 @@
 	}
 	g.alive, g.aliveAt = make(map[string]uint32, len(g.peers)), now
 	for name, p := range g.peers {
-		if p.live(now) && !p.leaving {
+		if p.live(now) && !p.leaving() {
 			g.alive[name] = p.Incarnation
 		}
 	}
@@ -303,7 +303,7 @@
 	defer g.mu.Unlock()
 	var list []pathselect.Peer
 	for name, p := range g.peers {
-		if p.live(now) && !p.leaving && p.Address != "" {
+		if p.live(now) && !p.leaving() && p.Address != "" {
 			list = append(list, pathselect.Peer{Name: name, Address: p.Address, SameDataCentre: p.DataCentre == g.opt.DataCentre, ReachesStore: p.reachesStore})
 		}
 	}
--- a/node/peers/quota.go
+++ b/node/peers/quota.go
@@ -302,7 +302,7 @@
 			silence = now.Sub(p.reportedAt)
 		}
 		switch {
-		case p.leaving:
+		case p.leaving():
 		case p.live(now) && silence < silentAfter:
 			heard++
 			if silence < mostSilentAfter {
--- a/node/peers/rank.go
+++ b/node/peers/rank.go
@@ -32,7 +32,8 @@
 	// its last datagram, listedAt that of the last roster that names it, and reportedAt
 	// that of its last load report.
 	discoveredAt, heardAt, listedAt, reportedAt time.Time
-	leaving                                     bool
+	// leavingIncarnation is that of its process that reported that it is leaving; zero if none did.
+	leavingIncarnation uint32
 	// loggedLive is the state of live that was logged last.
 	loggedLive bool
 	// reachesStore is set while it reports that its own path to the store is up.
@@ -61,6 +62,11 @@
 	process processHistory
 }
 
+// leaving reports whether the peer's current process is leaving.
+func (p *peer) leaving() bool {
+	return p.leavingIncarnation != 0 && p.leavingIncarnation == p.Incarnation
+}
+
 // setAddress sets the address at which the peer receives datagrams and calls.
 func (p *peer) setAddress(address netip.AddrPort) {
 	if p.addrPort != address {
@@ -136,7 +142,7 @@
 		if len(hubs) == hubCount {
 			break
 		}
-		if p := g.peers[name]; p == nil && !g.leaving || p != nil && p.live(now) && !p.leaving {
+		if p := g.peers[name]; p == nil && !g.leaving || p != nil && p.live(now) && !p.leaving() {
 			hubs = append(hubs, name)
 		}
 	}
--- a/node/peers/restart_test.go
+++ b/node/peers/restart_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -178,3 +179,32 @@
 		t.Errorf("this build reads %+v: %v", now, err)
 	}
 }
+
+// Guards against an instance that was a hub for a moment and takes a peer that it heard leaving for one that is
+// leaving for good, after another process of the peer has begun: it would claim the jobs of that one.
+func TestInstanceThatLeftIsAliveAfterItsRestart(t *testing.T) {
+	inVirtualTime(t, 3, func(t *testing.T, net *network) {
+		nodes := startAll(t, net, 5, 1, 8)
+		feed := nodes[0].group.opt.Feed.(*fakeFeed)
+		victim := killedInstance(nodes)
+		former := killedInstance(slices.DeleteFunc(slices.Clone(nodes), func(n *node) bool { return n == victim }))
+		victim.group.Leave()
+		raw, err := encode(kindLoadReport, &loadReport{Name: victim.name, Incarnation: 1, Leaving: true, Protocol: currentProtocol})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := former.group.receive(raw, victim.group.opt.Conn.(*fakeConn).address); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "the leaving instance counts as alive", func() bool { _, alive := former.group.Alive()[victim.name]; return !alive })
+		victim.stop()
+		time.Sleep(300 * time.Millisecond)
+		victim = startProcess(t, net.open(), feed, victim.name, 2, 1, 8, nil)
+		time.Sleep(heardTTL)
+		for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			if incarnation := former.group.Alive()[victim.name]; incarnation != 2 {
+				t.Fatalf("the instance counts as alive with incarnation %d", incarnation)
+			}
+		}
+	})
+}
