balance: ignore rate reports that a later one has overtaken

Callers saw a server with a rate limit get no requests for up to three seconds after a datagram had come late.

Cause: the count of a late report, of the same process or of the one before, became the base of the next one, so that requests were charged again.

Change: a report that includes fewer grants than the last one is ignored for a second.

--- a/policy/balance/rate.go
+++ b/policy/balance/rate.go
@@ -27,6 +27,9 @@
 	// starts holds the last number by server, and grants those that it does not include.
 	starts map[string]uint32
 	grants []Grant
+	// included is the sequence number that the last report included, which came at receivedAt.
+	included   uint64
+	receivedAt time.Time
 }
 
 // RecordRateLimit records the rate limit that a server states to this instance, in requests a
@@ -113,9 +116,14 @@
 
 // UpdatePeerRates records what a peer reports about servers with a rate limit. The numbers of
 // requests include the grants up to a sequence number. Requests that the peer sent without a
-// grant of this instance use up the limit, and grants that it did not use are returned.
+// grant of this instance use up the limit, and grants that it did not use are returned. A report that
+// another one has overtaken, perhaps one of another process, is ignored.
 func (t *Table) UpdatePeerRates(now time.Time, peer string, reports map[string]RateReport, included uint64) {
 	p := t.getOrCreatePeerStarts(peer)
+	if included < p.included && now.Sub(p.receivedAt) < grantTTL {
+		return
+	}
+	p.included, p.receivedAt = included, now
 	granted := map[string]uint32{}
 	p.grants = slices.DeleteFunc(p.grants, func(g Grant) bool {
 		if g.Sequence <= included {
