balance: ignore load reports that a later one of the same process has overtaken

Callers could see two items on one slot, and a server that gets no items for failures that were counted before.

Cause: each report was applied as the newest one, and counts that decrease were taken for those of a new process.

Messages are unchanged.

--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -152,6 +152,26 @@
 	}
 }
 
+// Guards against a load report that arrives after a later one of the same process: slots that are in use would count as
+// free, and failures that were counted before would count again.
+func TestOvertakenLoadReportsAreIgnored(t *testing.T) {
+	tb := newTestTable(1, 8)
+	report := func(at time.Time, included uint64, failed uint32, online int) {
+		tb.UpdatePeer(at, "peer", 1, map[string]Load{"s00": {Counts: Counts{Online: online}, OutcomeCounts: OutcomeCounts{Answered: 9, Failed: failed}}}, included)
+	}
+	s := tb.servers["s00"]
+	report(epoch, 100, 60, 1)
+	report(epoch, 110, 61, 7)
+	rate := s.failureRate(epoch)
+	report(epoch.Add(time.Millisecond), 100, 60, 1)
+	if n := s.inFlight(); n != 7 || s.failureRate(epoch) != rate {
+		t.Errorf("%d requests in flight and a failure rate of %.2f after a late report, want 7 and %.2f", n, s.failureRate(epoch), rate)
+	}
+	if report(epoch.Add(grantTTL), 5, 62, 2); s.inFlight() != 2 {
+		t.Errorf("%d requests in flight, want 2: numbers that begin anew count again", s.inFlight())
+	}
+}
+
 // Guards against requests that go to another data centre while servers in their own have
 // about as many free slots, and against requests that stay when those are much busier.
 func TestOwnDataCentreIsPreferred(t *testing.T) {
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -298,9 +298,12 @@
 
 // UpdatePeer replaces a peer's report with its loads by server. The loads include the
 // grants to the process with that incarnation up to the sequence number seen; later grants are kept
-// beside them for grantTTL.
+// beside them for grantTTL. A report that a later one of the same process has overtaken is ignored.
 func (t *Table) UpdatePeer(now time.Time, name string, incarnation uint32, loads map[string]Load, seen uint64) {
 	t.ObserveProcess(name, incarnation)
+	if old := t.peers[name]; old != nil && incarnation != 0 && seen < old.included && now.Sub(old.receivedAt) < grantTTL {
+		return
+	}
 	next := &peerReport{receivedAt: now, incarnation: incarnation, loads: loads, included: seen}
 	if old := t.peers[name]; old != nil {
 		t.recordPeerObservations(now, old.loads, next)
