balance: the choice of a hub is a trial of a server that seemed unreachable

Callers saw several requests wait for one server that does not respond, where one is meant to try it.

Cause: only the instance's own choice recorded the trial, not a choice of the hub that it accepted.

Change: AcceptPick records it, so that the server is among those to avoid until the outcome. Messages are unchanged.

Test: TestAcceptedPickIsATrial; a second request was sent at once before.

--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -88,6 +89,17 @@
 	}
 }
 
+// Guards against several requests at once that try a server which a hub has picked and which seemed unreachable.
+func TestAcceptedPickIsATrial(t *testing.T) {
+	tb := newTestTable(2, 8)
+	tb.RequestStarted("s00", Online)
+	tb.RequestEnded(epoch, "s00", Online, Unreachable)
+	now, q := epoch.Add(maxBackoff), Query{Service: "svc"}
+	if _, ok := tb.AcceptPick(now, "s00", q); !ok || !slices.Contains(tb.ServersToAvoid(now, q), "s00") {
+		t.Error("a second request may try the server")
+	}
+}
+
 // Guards against batch requests that take the last slots of a server, and against an
 // online request that queues although it could preempt a batch request.
 func TestBatchLeavesHeadroomAndIsPreempted(t *testing.T) {
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -213,12 +213,17 @@
 	best.takeRate(now, q)
 	t.recordPlacement(now, best, &q)
 	t.recordBatchStart(now, &q)
-	if best.consecutiveUnreachable > 0 {
-		best.trialUntil = now.Add(trialTimeout)
-	}
+	best.startTrial(now)
 	return best.choice(), true
 }
 
+// startTrial records that a request is sent to the server, as a trial if it seemed unreachable.
+func (s *serverState) startTrial(now time.Time) {
+	if s.consecutiveUnreachable > 0 {
+		s.trialUntil = now.Add(trialTimeout)
+	}
+}
+
 // evaluate returns the servers that may get the request with their scores, in a buffer that
 // the next call reuses. If none may, unreachable is the one among the servers that seem
 // unreachable whose backoff ends first.
@@ -490,6 +495,7 @@
 	if s == nil || s.server.Service != q.Service || !s.eligible(&q) || s.consecutiveUnreachable > 0 && now.Before(s.backoffUntil) {
 		return Choice{}, false
 	}
+	s.startTrial(now)
 	return s.choice(), true
 }
 
