balance: requests that run once return to a server that seemed unreachable

Callers on a service whose requests all run once lost its servers one by one: each that once did not respond was not used again until the instance was restarted.

Cause: only a request that may be repeated could try such a server, and only an answer lifts the mark.

Change: 10 s after a backoff without a trial a request that runs once may be one, later after each further failure.

Test: TestRequestsThatRunOnceReturnToAnUnreachableServer, 0 requests in ten minutes after the server recovered before.

--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -89,6 +89,58 @@
 	}
 }
 
+// Guards against a server that is never used again after it seemed unreachable, on a service whose requests all must not be
+// repeated, and against losing many of them to a server that stays so, or any while others can try it.
+func TestRequestsThatRunOnceReturnToAnUnreachableServer(t *testing.T) {
+	const minutes, maxTrials = 10, 8
+	for name, c := range map[string]struct{ recovers, mixed, throughHub bool }{
+		"recovers": {recovers: true}, "recovers, by a hub": {recovers: true, throughHub: true}, "stays": {}, "stays, by a hub": {throughHub: true}, "others try it": {mixed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tb := newTestTable(2, 8)
+			tb.RequestStarted("s00", Online)
+			tb.RequestEnded(epoch, "s00", Online, Unreachable)
+			trials, answered := 0, 0
+			for now := epoch; now.Sub(epoch) < minutes*time.Minute; now = now.Add(200 * time.Millisecond) {
+				for _, once := range []bool{false, true} {
+					if !once && !c.mixed {
+						continue
+					}
+					q := Query{Service: "svc", AtMostOnce: once, CompleteView: true}
+					id := "s00"
+					if !c.throughHub {
+						choice, _ := tb.Pick(now, q)
+						id = choice.Server.ID
+					} else if slices.Contains(tb.ServersToAvoid(now, q), id) {
+						continue
+					} else if _, ok := tb.AcceptPick(now, id, q); !ok {
+						t.Fatal("a server that is not to be avoided is not accepted")
+					}
+					if id != "s00" {
+						continue
+					}
+					tb.RequestStarted(id, Online)
+					if c.recovers {
+						answered++
+						tb.RequestEnded(now, id, Online, Answered)
+						continue
+					}
+					tb.RequestEnded(now, id, Online, Unreachable)
+					if once {
+						trials++
+					}
+				}
+			}
+			if c.recovers && answered < minutes*60 {
+				t.Errorf("the server answers %d requests after it recovered", answered)
+			}
+			if most := maxTrials; !c.mixed && trials > most || c.mixed && trials > 0 {
+				t.Errorf("%d requests are lost", trials)
+			}
+		})
+	}
+}
+
 // Guards against several requests at once that try a server which a hub has picked and which seemed unreachable.
 func TestAcceptedPickIsATrial(t *testing.T) {
 	tb := newTestTable(2, 8)
--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -362,10 +362,20 @@
 }
 
 // unreachableFor reports whether the server counts as unreachable for a request. A
-// server whose backoff is over gets one trial request at a time, which must be one that
-// may be repeated.
+// server whose backoff is over gets one trial request at a time, which is one that may be
+// repeated unless no such request has come for a while.
 func (s *serverState) unreachableFor(now time.Time, q Query) bool {
-	return s.consecutiveUnreachable > 0 && (now.Before(s.backoffUntil) || now.Before(s.trialUntil) || q.AtMostOnce)
+	if s.consecutiveUnreachable == 0 {
+		return false
+	}
+	until := s.backoffUntil
+	if s.trialUntil.After(until) {
+		until = s.trialUntil
+	}
+	if q.AtMostOnce {
+		until = until.Add(atMostOnceTrialDelay << min(s.consecutiveUnreachable-1, maxAtMostOnceDoublings))
+	}
+	return now.Before(until)
 }
 
 func (s *serverState) choice() Choice {
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -47,6 +47,10 @@
 	// trialTimeout is the time after which another trial request may be sent even
 	// if the outcome of the last one is not known.
 	trialTimeout = time.Second
+	// atMostOnceTrialDelay is the time after a backoff without a trial from which a request that must
+	// not be repeated may be one. It doubles with each further failure, maxAtMostOnceDoublings times.
+	atMostOnceTrialDelay   = 10 * time.Second
+	maxAtMostOnceDoublings = 5
 	// outcomeReportPeriod is the time for which changed outcome counts of a server that
 	// fails or failed requests are included in this instance's reports.
 	outcomeReportPeriod = 2 * time.Second
