reserve: waves that are over hold no batch requests back

Callers saw items wait before idle slots on a service whose online requests had ended: 8 of 32 slots were used.

Cause: a batch request was held back before the hub sampled the demand, so that with batch requests alone nothing was sampled and the waves of the past stayed.

Change: the demand is sampled first, and a sample counts for the time since the last one. The samples are the hub's own.

--- a/policy/balance/pick.go
+++ b/policy/balance/pick.go
@@ -192,6 +192,7 @@
 // Pick returns the server for a request. It returns false when no server is eligible,
 // or when a batch request has to wait.
 func (t *Table) Pick(now time.Time, q Query) (Choice, bool) {
+	t.observeDemand(now, &q)
 	if t.HoldsBack(now, &q) {
 		t.demands[q.Service].held++
 		return Choice{}, false
@@ -232,7 +233,6 @@
 	if group == nil {
 		return nil, nil
 	}
-	t.observeDemand(now, group, &q)
 	median := group.medianStepTime(now)
 	candidates = t.candidates[:0]
 	t.findUrgentWaits(now, &q)
--- a/policy/balance/reserve.go
+++ b/policy/balance/reserve.go
@@ -80,8 +80,9 @@
 }
 
 // observeDemand follows the demand of a service. Without a complete view it is not known.
-func (t *Table) observeDemand(now time.Time, group *serviceState, q *Query) {
-	if !q.CompleteView {
+func (t *Table) observeDemand(now time.Time, q *Query) {
+	group := t.services[q.Service]
+	if group == nil || !q.CompleteView {
 		return
 	}
 	d := t.demands[q.Service]
--- a/policy/balance/reserve_test.go
+++ b/policy/balance/reserve_test.go
@@ -261,3 +261,50 @@
 		t.Errorf("with a reserve %+v, without %+v", with, without)
 	}
 }
+
+// Guards against slots that stay reserved for waves of online requests which have ended: batch requests, by then the only
+// ones, would be held back by what only their own placement lets the hub observe.
+func TestReserveEndsWithTheWaves(t *testing.T) {
+	const servers, slots, height, items = 4, 8, 24, 14
+	for name, silence := range map[string]time.Duration{"at once": 0, "after a silence": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			tb := newTestTable(servers, slots)
+			tb.RecordPace("s00", pace.Statement{Pace: pace.Usual, At: epoch})
+			now := epoch
+			var online []string
+			for i := 0; now.Sub(epoch) < 24*time.Second; i, now = i+1, now.Add(50*time.Millisecond) {
+				tb.Pick(now, Query{Service: "svc", CompleteView: true})
+				if i%100 < 50 { // half of each period of 5 s
+					for len(online) < height {
+						c := mustPick(t, tb, Query{CompleteView: true})
+						tb.RequestStarted(c.Server.ID, Online)
+						online = append(online, c.Server.ID)
+					}
+					continue
+				}
+				for _, id := range online {
+					tb.RequestEnded(now, id, Online, Answered)
+				}
+				online = online[:0]
+			}
+			if tb.ReserveStats()["svc"].Peak == 0 {
+				t.Fatal("no waves were seen")
+			}
+			for _, id := range online {
+				tb.RequestEnded(now, id, Online, Answered)
+			}
+			now = now.Add(silence)
+			running := 0
+			for end := now.Add(15 * time.Second); now.Before(end) && running < items; now = now.Add(120 * time.Millisecond) {
+				c, ok := tb.Pick(now, Query{Service: "svc", Class: Batch, CompleteView: true, Headroom: 1, Slack: time.Hour, RunTime: 5 * time.Second, Waiting: 1})
+				if ok {
+					tb.RequestStarted(c.Server.ID, Batch)
+					running++
+				}
+			}
+			if running < items {
+				t.Errorf("%d of %d items run on %d idle slots", running, items, servers*slots)
+			}
+		})
+	}
+}
--- a/policy/reserve/reserve.go
+++ b/policy/reserve/reserve.go
@@ -55,6 +55,8 @@
 	busy     [sampleCount]int
 	meanBusy float64
 	count    int // samples taken
+	// observedAt is the time of the last sample.
+	observedAt time.Time
 	// low and peak are the lowest sample and the height of the waves, as of computedAt.
 	low, peak  int
 	computedAt time.Time
@@ -66,11 +68,17 @@
 	ends []time.Time
 }
 
-// Observe records the load. It must be called every SampleInterval.
+// Observe records the load, which counts for the time since the last call too.
 func (d *Demand) Observe(now time.Time, f Fleet) {
-	online := f.Online
-	d.samples[d.count%sampleCount], d.busy[d.count%sampleCount] = online, online+f.Batch
-	d.count++
+	online, samples := f.Online, 1
+	if !d.observedAt.IsZero() {
+		samples = min(max(1, int(now.Sub(d.observedAt)/SampleInterval)), sampleCount)
+	}
+	d.observedAt = now
+	for range samples {
+		d.samples[d.count%sampleCount], d.busy[d.count%sampleCount] = online, online+f.Batch
+		d.count++
+	}
 	if now.Sub(d.computedAt) >= recomputeInterval {
 		d.recompute(now)
 	}
