--- a/cmd/jacinthnotchd/mixed/mixed_test.go
+++ b/cmd/jacinthnotchd/mixed/mixed_test.go
@@ -177,13 +177,17 @@
 	in.awaitReady(s.T)
 }
 
-// killAfterItem kills an instance just after an item has begun, and starts it again at once or soon.
+// killAfterItem kills an instance just after an item has begun, perhaps after it stood still for a while, and starts it again
+// at once or soon.
 func (s *soak) killAfterItem(in *instance, program string) {
 	select {
 	case <-s.service.began:
 	case <-time.After(time.Second):
 	}
 	time.Sleep(time.Duration(s.random.Int64N(int64(50 * time.Millisecond))))
+	if s.random.IntN(4) == 0 {
+		in.pause(time.Second)
+	}
 	in.kill()
 	time.Sleep([]time.Duration{0, 100 * time.Millisecond, 500 * time.Millisecond}[s.random.IntN(3)])
 	in.start(s.T, program)
--- a/cmd/jacinthnotchd/mixed/processes_test.go
+++ b/cmd/jacinthnotchd/mixed/processes_test.go
@@ -176,6 +176,16 @@
 	}
 }
 
+// pause stops the process for a while, after which it is killed.
+func (in *instance) pause(d time.Duration) {
+	in.mu.Lock()
+	command := in.command
+	in.killedAt = time.Now().Add(d)
+	in.mu.Unlock()
+	_ = command.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+}
+
 // terminate drains the process, and reports whether it ends in time.
 func (in *instance) terminate() bool {
 	in.mu.Lock()
