--- a/cmd/jacinthnotchd/mixed/servers_test.go
+++ b/cmd/jacinthnotchd/mixed/servers_test.go
@@ -38,7 +38,6 @@
 
 // service is what the servers have run.
 type service struct {
-	mu sync.Mutex
 	// began receives a value when an item begins, if there is room.
 	began chan struct{}
 	list  []*server
